--- /dev/null
+++ b/lib/control/src/main/java/craneway/control/node/Membership.java
@@ -0,0 +1,263 @@
+package craneway.control.node;
+
+import craneway.model.event.Event;
+import craneway.model.manifest.Manifest;
+import craneway.model.manifest.ManifestReader;
+import craneway.model.problem.Kind;
+import craneway.model.unit.Parts;
+import craneway.model.unit.Rendezvous;
+import craneway.state.message.Codec;
+import craneway.state.message.Messages.News;
+import craneway.state.message.Messages.Renew;
+import craneway.state.message.Messages.RenewVerdict;
+import craneway.state.message.Messages.Subscribe;
+import craneway.state.message.Node;
+import craneway.state.record.Rows;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+public final class Membership {
+    public static final long LEASE = 2_000_000, RENEW = 500_000;
+    private static final long IMPATIENT = 300_000, PATIENCE = 1_000_000, SUBSCRIBE = 500_000, SUBSCRIBED = 2_000_000;
+
+    private static final class PartLease {
+        long until = Long.MIN_VALUE / 2;
+        long due;
+        int turn;
+        boolean held;
+        long membersVersion = -1;
+        List<Node> members = List.of();
+    }
+
+    private static final class Topic {
+        long version;
+        byte[] body;
+        long newest;
+        long behindSince;
+        long due;
+        long pulled;
+        final Map<String, Long> subscribers = new HashMap<>();
+    }
+
+    public record View(Rows.Manifest topic, Manifest manifest, Map<String, Rows.Service> services, long[] leases,
+                       List<List<Node>> members) {
+        public boolean leased(int part, long now) { return now < leases[part]; }
+        public long leaseEnd(int part) { return leases[part]; }
+    }
+
+    private final Port port;
+    private final Directory directory;
+    private final Asker asker;
+    private final PartLease[] leases = new PartLease[Parts.COUNT];
+    private final Map<String, Topic> topics = new TreeMap<>();
+    private final Map<String, Rows.Service> services = new TreeMap<>();
+    private Rows.Manifest manifestTopic = new Rows.Manifest();
+    private Manifest manifest;
+    private boolean everHeld;
+    private boolean superseded;
+    private boolean leaving;
+    private volatile View view;
+
+    public Membership(Port port, Directory directory, Asker asker) {
+        this.port = port;
+        this.directory = directory;
+        this.asker = asker;
+        for (var i = 0; i < leases.length; i++) leases[i] = new PartLease();
+        topics.put(Parts.MANIFEST_TOPIC, new Topic());
+        publish();
+    }
+
+    public View view() { return view; }
+
+    public synchronized boolean superseded() { return superseded; }
+
+    public synchronized boolean current() {
+        if (topics.values().stream().anyMatch(t -> t.version == 0 || t.version < t.newest)) return false;
+        for (var l : leases) if (!l.held) return false;
+        return manifest != null;
+    }
+
+    public synchronized void leave(long now) {
+        leaving = true;
+        for (var p = 0; p < leases.length; p++) {
+            leases[p].until = now;
+            renew(p, now);
+        }
+        publish();
+    }
+
+    public synchronized void tick(long now) {
+        if (superseded || leaving || directory.self().coreId == 0) return;
+        for (var p = 0; p < leases.length; p++) {
+            var l = leases[p];
+            if (l.held && now >= l.until) {
+                l.held = false;
+                port.note(Event.LEASE_LAPSED, "part " + p);
+            }
+            if (now >= l.due) renew(p, now);
+        }
+        topics.forEach((n, t) -> follow(n, t, now));
+    }
+
+    private void renew(int part, long now) {
+        var l = leases[part];
+        l.due = now + RENEW;
+        var to = asker.owner(part);
+        if (to == null) {
+            var all = directory.stores();
+            if (all.isEmpty()) return;
+            to = all.get(Math.floorMod(l.turn++, all.size()));
+        }
+        if (now > l.until + LEASE) asker.owner(part, null);
+        var r = new Renew();
+        r.part = part;
+        r.from = directory.self();
+        r.stamp = now;
+        r.members = l.membersVersion;
+        r.leaving = leaving;
+        topics.forEach((n, t) -> {
+            if (Parts.of(n) != part) return;
+            r.topics.add(n);
+            r.versions.add(t.version);
+        });
+        port.send(to.partner, r);
+    }
+
+    private void follow(String name, Topic t, long now) {
+        t.subscribers.values().removeIf(at -> now - at > SUBSCRIBED);
+        var late = t.behindSince != 0 && now - t.behindSince > IMPATIENT && now - t.pulled > IMPATIENT;
+        if (now < t.due && !late) return;
+        t.due = now + SUBSCRIBE;
+        var home = late ? null : homeOf(name);
+        if (home == null || home.name.equals(directory.self().name)) home = asker.owner(Parts.of(name));
+        if (late) t.pulled = now;
+        if (home == null) return;
+        var s = new Subscribe();
+        s.from = directory.self();
+        s.topic = name;
+        s.have = t.version;
+        port.send(home.partner, s);
+    }
+
+    private Node homeOf(String topic) {
+        if (!directory.self().isRouter()) return null;
+        var mine = new TreeMap<String, Node>();
+        mine.put(directory.self().name, directory.self());
+        for (var n : leases[Parts.of(topic)].members)
+            if (n.isRouter() && n.zone.equals(directory.self().zone)) mine.put(n.name, n);
+        return mine.get(Rendezvous.pick(topic, mine.keySet()));
+    }
+
+    public synchronized void receive(RenewVerdict v, long now) {
+        if (v.part < 0 || v.part >= leases.length) return;
+        var l = leases[v.part];
+        if (v.kind == Kind.NOT_OWNER.code()) {
+            var had = asker.owner(v.part);
+            asker.owner(v.part, v.owner);
+            if (v.owner != null && (had == null || !had.name.equals(v.owner.name))) l.due = Math.min(l.due, now + 20_000);
+            return;
+        }
+        if (v.kind == Kind.STALE_MEMBER.code()) {
+            stale(v.incarnation);
+            return;
+        }
+        if (v.kind != 0 || v.incarnation != directory.self().incarnation) return;
+        if (v.owner != null) asker.owner(v.part, v.owner);
+        for (var i = 0; i < v.topics.size(); i++) hearVersion(v.topics.get(i), v.versions.get(i), now);
+        if (v.members != null) {
+            l.membersVersion = v.membersVersion;
+            l.members = List.copyOf(v.members);
+            v.members.forEach(n -> directory.learn(n, now));
+        }
+        if (tooFarBehind(v.part, l.held, now)) return;
+        if (!l.held && now < v.stamp + LEASE) {
+            l.held = true;
+            everHeld = true;
+            port.note(Event.LEASE_TAKEN, "part " + v.part);
+        }
+        l.until = Math.max(l.until, v.stamp + LEASE);
+        publish();
+    }
+
+    private void hearVersion(String topic, long version, long now) {
+        var t = topics.get(topic);
+        if (t == null) return;
+        t.newest = Math.max(t.newest, version);
+        if (t.newest > t.version && t.behindSince == 0) t.behindSince = now;
+    }
+
+    private boolean tooFarBehind(int part, boolean held, long now) {
+        return topics.entrySet().stream().filter(e -> Parts.of(e.getKey()) == part).map(Map.Entry::getValue)
+            .anyMatch(t -> t.behindSince != 0 && (!held || now - t.behindSince > PATIENCE));
+    }
+
+    private void stale(long known) {
+        if (everHeld) {
+            superseded = true;
+            return;
+        }
+        var s = directory.self();
+        var n = new Node(s.name, s.kind, s.zone, s.partner, known + 1);
+        n.storeId = s.storeId;
+        n.coreId = s.coreId;
+        directory.self(n);
+    }
+
+    public synchronized void receive(Subscribe s, long now) {
+        var t = topics.get(s.topic);
+        if (t == null || s.from == null) return;
+        t.subscribers.put(s.from.partner, now);
+        if (t.body != null && t.version > s.have) port.send(s.from.partner, news(s.topic, t));
+    }
+
+    private static News news(String name, Topic t) {
+        var n = new News();
+        n.topic = name;
+        n.version = t.version;
+        n.body = t.body;
+        return n;
+    }
+
+    public synchronized void receive(News n, long now) {
+        var t = topics.get(n.topic);
+        if (t == null || n.version <= t.version) return;
+        if (n.topic.equals(Parts.MANIFEST_TOPIC)) takeManifest(Codec.read(Rows.Manifest.class, n.body));
+        else takeService(Codec.read(Rows.Service.class, n.body));
+        t.version = n.version;
+        t.newest = Math.max(t.newest, n.version);
+        t.body = n.body;
+        if (t.version >= t.newest) t.behindSince = 0;
+        publish();
+        t.subscribers.keySet().forEach(a -> port.send(a, news(n.topic, t)));
+        renew(Parts.of(n.topic), now);
+    }
+
+    private void takeManifest(Rows.Manifest m) {
+        manifestTopic = m;
+        if (m.text.isEmpty()) return;
+        manifest = ManifestReader.read(m.text).getOrElseThrow(p -> new IllegalStateException(p.detail()));
+        port.note(Event.MANIFEST_TAKEN, "version " + m.version + " marks " + m.marks);
+        for (var s : manifest.services().keySet()) topics.computeIfAbsent(s, k -> new Topic());
+        topics.keySet().removeIf(k -> !k.equals(Parts.MANIFEST_TOPIC) && !manifest.services().containsKey(k));
+        services.keySet().removeIf(k -> !manifest.services().containsKey(k));
+    }
+
+    private void takeService(Rows.Service s) {
+        var old = services.put(s.name, s);
+        if (old == null || old.tableVersion != s.tableVersion)
+            port.note(Event.TABLE_TAKEN, s.name + " version " + s.tableVersion);
+    }
+
+    private void publish() {
+        var until = new long[leases.length];
+        var all = new ArrayList<List<Node>>();
+        for (var i = 0; i < until.length; i++) {
+            until[i] = leases[i].until;
+            all.add(leases[i].members);
+        }
+        view = new View(manifestTopic, manifest, Map.copyOf(services), until, all);
+    }
+}
--- /dev/null
+++ b/lib/control/src/main/java/craneway/control/operator/Operator.java
@@ -0,0 +1,181 @@
+package craneway.control.operator;
+
+import craneway.control.node.Asker;
+import craneway.control.node.Port;
+import craneway.control.store.PartStatus;
+import craneway.control.store.Spread;
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import craneway.model.unit.Parts;
+import craneway.state.message.Codec;
+import craneway.state.message.Commands;
+import craneway.state.message.Messages.AskVerdict;
+import craneway.state.message.Plan;
+import craneway.state.message.Queries;
+import craneway.state.record.Rows;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+public final class Operator {
+    private static final long PATIENCE = 3_000_000, LOOK = 50_000;
+
+    public record Carried(long version, List<String> missing, List<String> able) { }
+
+    private static final class Watch {
+        long topic;
+        long version;
+        String zone;
+        long due;
+        long until;
+        Predicate<Spread> enough;
+        Spread last = new Spread();
+        Consumer<Carried> then;
+    }
+
+    private final Port port;
+    private final Asker asker;
+    private final ConcurrentLinkedQueue<Watch> watches = new ConcurrentLinkedQueue<>();
+
+    public Operator(Port port, Asker asker) {
+        this.port = port;
+        this.asker = asker;
+    }
+
+    public void tick(long now) {
+        for (var w : watches) {
+            if (now >= w.until) close(w);
+            else if (now >= w.due) look(w, now);
+        }
+    }
+
+    private void close(Watch w) {
+        if (watches.remove(w)) w.then.accept(new Carried(w.version, w.last.missing, w.last.able));
+    }
+
+    private void look(Watch w, long now) {
+        w.due = now + LOOK;
+        var q = new Queries.Spread();
+        q.version = w.topic;
+        q.zone = w.zone;
+        asker.ask(Parts.MANIFEST, q, PATIENCE, v -> {
+            if (v.kind != 0) return;
+            w.last = Codec.read(Spread.class, v.body);
+            if (w.enough.test(w.last)) close(w);
+        });
+    }
+
+    private void watch(long topic, long version, String zone, Predicate<Spread> enough, Consumer<Carried> then) {
+        var w = new Watch();
+        w.topic = topic;
+        w.version = version;
+        w.zone = zone;
+        w.enough = enough;
+        w.then = then;
+        w.until = port.now() + PATIENCE;
+        watches.add(w);
+    }
+
+    private static Problem problem(AskVerdict v) { return new Problem(Kind.of(v.kind), v.detail, v.retryAfter); }
+
+    public void manifest(Consumer<Either<Problem, Rows.Manifest>> then) {
+        asker.ask(Parts.MANIFEST, new Queries.ManifestGet(), PATIENCE,
+            v -> then.accept(v.kind == 0 ? Either.right(Codec.read(Rows.Manifest.class, v.body)) : Either.left(problem(v))));
+    }
+
+    public void send(long base, String text, Consumer<Either<Problem, Carried>> then) {
+        var c = new Commands.ManifestPut();
+        c.base = base;
+        c.text = text;
+        asker.ask(Parts.MANIFEST, c, PATIENCE, v -> {
+            if (v.kind != 0) then.accept(Either.left(problem(v)));
+            else watch(v.version, Long.parseLong(v.detail), "", s -> s.missing.isEmpty(), r -> then.accept(Either.right(r)));
+        });
+    }
+
+    public void status(Consumer<List<PartStatus>> then) {
+        var all = new PartStatus[Parts.COUNT];
+        var open = new int[] {Parts.COUNT};
+        for (var p = 0; p < Parts.COUNT; p++) {
+            var part = p;
+            asker.ask(p, new Queries.Status(), PATIENCE, v -> {
+                synchronized (all) {
+                    if (v.kind == 0) all[part] = Codec.read(PartStatus.class, v.body);
+                    if (--open[0] > 0) return;
+                }
+                then.accept(reached(all));
+            });
+        }
+    }
+
+    private static List<PartStatus> reached(PartStatus[] all) {
+        var r = new ArrayList<PartStatus>();
+        for (var s : all) if (s != null) r.add(s);
+        return r;
+    }
+
+    public void plan(Intent i, Consumer<Either<Problem, Plan>> then) {
+        status(parts -> {
+            if (parts.size() < Parts.COUNT) {
+                then.accept(Either.left(Problem.of(Kind.NO_OWNER, "only " + parts.size() + " of " + Parts.COUNT + " parts can be reached")));
+                return;
+            }
+            var p = Intents.plan(i, parts.get(Parts.MANIFEST).manifest, parts);
+            if (p.isLeft()) then.accept(p);
+            else put(p.get(), then);
+        });
+    }
+
+    private void put(Plan p, Consumer<Either<Problem, Plan>> then) {
+        var c = new Commands.PlanPut();
+        c.plan = p;
+        asker.ask(Parts.MANIFEST, c, PATIENCE, v -> {
+            p.id = v.version;
+            then.accept(v.kind == 0 ? Either.right(p) : Either.left(problem(v)));
+        });
+    }
+
+    public void show(long plan, Consumer<Either<Problem, Plan>> then) {
+        var q = new Queries.PlanGet();
+        q.plan = plan;
+        asker.ask(Parts.MANIFEST, q, PATIENCE, v -> then.accept(v.kind == 0 ? Either.right(Codec.read(Plan.class, v.body)) : Either.left(problem(v))));
+    }
+
+    public void confirm(long plan, Consumer<Either<Problem, Carried>> then) {
+        show(plan, p -> {
+            if (p.isLeft()) {
+                then.accept(Either.left(p.getLeft()));
+                return;
+            }
+            var c = new Commands.PlanConfirm();
+            c.plan = plan;
+            asker.ask(Parts.MANIFEST, c, PATIENCE, v -> {
+                if (v.kind != 0) then.accept(Either.left(problem(v)));
+                else watch(v.version, plan, zone(p.get()), s -> s.able.isEmpty(), r -> then.accept(Either.right(r)));
+            });
+        });
+    }
+
+    public void watch(long plan, Consumer<Either<Problem, Carried>> then) {
+        show(plan, p -> {
+            if (p.isLeft()) then.accept(Either.left(p.getLeft()));
+            else if (p.get().state != Plan.CONFIRMED) then.accept(Either.left(Problem.of(Kind.STALE_PLAN, "plan " + plan + " is " + p.get().stateName())));
+            else watch(p.get().confirmedTopic, plan, zone(p.get()), s -> s.able.isEmpty(), r -> then.accept(Either.right(r)));
+        });
+    }
+
+    private static String zone(Plan p) {
+        for (var k : p.marks.keySet()) if (k.startsWith("zone:")) return k.substring(5);
+        return "";
+    }
+
+    public void stop(long plan, Consumer<Either<Problem, Long>> then) {
+        var c = new Commands.PlanStop();
+        c.plan = plan;
+        c.cause = "stopped by an operator";
+        asker.ask(Parts.MANIFEST, c, PATIENCE, v -> then.accept(v.kind == 0 ? Either.right(plan) : Either.left(problem(v))));
+    }
+}
--- /dev/null
+++ b/lib/control/src/main/java/craneway/control/plan/Planner.java
@@ -0,0 +1,49 @@
+package craneway.control.plan;
+
+import craneway.model.unit.Hash;
+import craneway.model.unit.Table;
+import craneway.model.unit.Units;
+import craneway.state.record.Rows;
+import java.util.BitSet;
+
+public final class Planner {
+    private Planner() { }
+
+    public static int[] wanted(Rows.Service s, BitSet closed, BitSet well) {
+        var n = s.homes.length;
+        var w = new int[n];
+        for (var u = 0; u < n; u++) w[u] = wanted(s, u, closed, well);
+        return w;
+    }
+
+    private static int wanted(Rows.Service s, int unit, BitSet closed, BitSet well) {
+        var best = pick(s, unit, closed, well);
+        if (best != Table.NOWHERE) return best;
+        var now = s.homes[unit];
+        if (now != Table.NOWHERE && allowed(s, unit, now) && !closed.get(now)) return now;
+        return pick(s, unit, closed, null);
+    }
+
+    private static int pick(Rows.Service s, int unit, BitSet closed, BitSet well) {
+        var best = Table.NOWHERE;
+        var most = Double.NEGATIVE_INFINITY;
+        for (var c = 0; c < s.cells.size(); c++) {
+            if (!allowed(s, unit, c) || closed.get(c) || well != null && !well.get(c)) continue;
+            var score = score(unit, s.cells.get(c), s.weights.get(c));
+            if (score > most) {
+                most = score;
+                best = c;
+            }
+        }
+        return best;
+    }
+
+    private static boolean allowed(Rows.Service s, int unit, int cell) {
+        return s.live(cell) && Units.allows(Units.regionSet(unit), s.regions.indexOf(s.cellRegions.get(cell)));
+    }
+
+    private static double score(int unit, String cell, int weight) {
+        var h = Hash.of(Units.slice(unit), Hash.of(cell)) >>> 11;
+        return weight / -StrictMath.log((h + 0.5) / (1L << 53));
+    }
+}
--- /dev/null
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -0,0 +1,543 @@
+package craneway.control.store;
+
+import craneway.control.node.Directory;
+import craneway.control.node.Membership;
+import craneway.control.node.Port;
+import craneway.control.plan.Mover;
+import craneway.model.event.Event;
+import craneway.model.manifest.Manifest;
+import craneway.model.manifest.ManifestReader;
+import craneway.model.problem.Kind;
+import craneway.model.unit.Parts;
+import craneway.state.disk.Folder;
+import craneway.state.message.BadMessage;
+import craneway.state.message.Codec;
+import craneway.state.message.Commands;
+import craneway.state.message.Messages.Ask;
+import craneway.state.message.Messages.AskVerdict;
+import craneway.state.message.Messages.Join;
+import craneway.state.message.Messages.News;
+import craneway.state.message.Messages.Renew;
+import craneway.state.message.Messages.RenewVerdict;
+import craneway.state.message.Messages.Subscribe;
+import craneway.state.message.Node;
+import craneway.state.message.Queries;
+import craneway.state.part.Group;
+import craneway.state.part.Members;
+import craneway.state.part.Outlet;
+import craneway.state.part.PartMessage;
+import craneway.state.record.Records;
+import craneway.state.record.Rows;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+
+public final class Keeper implements Outlet {
+    private static final long LAPSE = Membership.LEASE + 300_000, FORGET = 60_000_000, RUNNER_DARK = 3_000_000,
+        SUBSCRIBED = 2_000_000, AGE = 1_000_000, REPLACE = 4_000_000, SETTLED = 3_000_000;
+
+    private static final class Lease {
+        long incarnation;
+        long seen;
+        final Map<String, Long> versions = new HashMap<>();
+    }
+
+    private record Waiting(long term, Consumer<AskVerdict> then) { }
+
+    private record Wanting(Node node, long at) { }
+
+    private final int part;
+    private final Port port;
+    private final Directory directory;
+    private final Membership membership;
+    private final Group group;
+    private final Records records = new Records();
+    private final Mover mover = new Mover();
+    private final ReentrantLock lock = new ReentrantLock();
+    private final ConcurrentLinkedQueue<Runnable> buffer = new ConcurrentLinkedQueue<>();
+    private final Map<Long, Waiting> waiting = new HashMap<>();
+    private final Map<String, Lease> leases = new TreeMap<>();
+    private final Map<String, Long> runnersSeen = new HashMap<>();
+    private final Map<String, Integer> runnerLoads = new HashMap<>();
+    private final Map<String, Map<String, Long>> subscribers = new HashMap<>();
+    private final Map<String, Long> told = new HashMap<>();
+    private final Set<String> proposed = new HashSet<>();
+    private Wanting wanting;
+    private long owningSince;
+    private long aged;
+
+    public Keeper(int part, long self, Folder folder, Members first, Port port, Directory directory, Membership membership, Random random) {
+        this.part = part;
+        this.port = port;
+        this.directory = directory;
+        this.membership = membership;
+        this.group = new Group(part, self, folder, first, records, random, this, port.now());
+    }
+
+    public void offer(Runnable event) {
+        buffer.add(event);
+        while (!buffer.isEmpty() && lock.tryLock()) {
+            try {
+                for (var e = buffer.poll(); e != null; e = buffer.poll()) e.run();
+                group.settle(port.now());
+                spreadNews(port.now());
+            } finally {
+                lock.unlock();
+            }
+        }
+    }
+
+    public void tick() { offer(() -> tick(port.now())); }
+
+    public void receive(PartMessage m) { offer(() -> group.receive(m, port.now())); }
+
+    public void receive(Ask a) { offer(() -> ask(a, port.now())); }
+
+    public void receive(Renew r) { offer(() -> renew(r, port.now())); }
+
+    public void receive(Subscribe s) { offer(() -> subscribe(s, port.now())); }
+
+    public void receive(Join j) { offer(() -> join(j, port.now())); }
+
+    public void handOver() { offer(() -> handOver(port.now())); }
+
+    public boolean owns() { return group.ready(); }
+
+    public Group group() { return group; }
+
+    public Records records() { return records; }
+
+    @Override
+    public void send(PartMessage m) {
+        var to = directory.store(m.to);
+        if (to != null) port.send(to.partner, m);
+    }
+
+    @Override
+    public void applied(long index, long term, Object result) {
+        var w = waiting.remove(index);
+        if (w == null) return;
+        w.then.accept(w.term == term ? (AskVerdict) result : Records.no(Kind.UNCERTAIN, "the part changed its owner"));
+    }
+
+    @Override
+    public void owning(boolean owns, long term) {
+        port.note(owns ? Event.OWNER : Event.OWNER_LOST, "part " + part + " term " + term);
+        leases.clear();
+        runnersSeen.clear();
+        runnerLoads.clear();
+        told.clear();
+        proposed.clear();
+        mover.reset();
+        owningSince = aged = port.now();
+        if (owns) return;
+        var all = List.copyOf(waiting.values());
+        waiting.clear();
+        all.forEach(w -> w.then.accept(Records.no(Kind.UNCERTAIN, Kind.UNCERTAIN.text())));
+    }
+
+    @Override
+    public void note(Event e, String detail) { port.note(e, detail); }
+
+    private void tick(long now) {
+        group.tick(now);
+        if (!group.fresh(now)) return;
+        watchMembers(now);
+        watchRunners(now);
+        regroup(now);
+        age(now);
+        syncServices();
+        move(now);
+        spreadOwners(now);
+    }
+
+    private Node otherOwner() {
+        var id = group.owner();
+        return id == 0 || id == directory.self().storeId ? null : directory.store(id);
+    }
+
+    private void propose(Object command, Consumer<AskVerdict> then) {
+        var i = group.propose(Codec.writeTagged(command), port.now());
+        if (i < 0) {
+            then.accept(Records.no(Kind.NOT_OWNER, ""));
+        } else {
+            waiting.put(i, new Waiting(group.term(), then));
+        }
+    }
+
+    private void propose(Object command) { propose(command, v -> { }); }
+
+    private void ask(Ask a, long now) {
+        if (!group.fresh(now)) {
+            var v = Records.no(Kind.NOT_OWNER, "");
+            v.owner = otherOwner();
+            reply(a, v);
+            return;
+        }
+        try {
+            taken(a, Codec.readTagged(a.body), now);
+        } catch (BadMessage e) {
+            port.note(Event.BAD_MESSAGE, e.getMessage());
+            reply(a, Records.no(Kind.BAD_MESSAGE, e.getMessage()));
+        }
+    }
+
+    private void reply(Ask a, AskVerdict v) {
+        var r = new AskVerdict();
+        r.id = a.id;
+        r.kind = v.kind;
+        r.detail = v.detail;
+        r.retryAfter = v.retryAfter;
+        r.owner = v.owner;
+        r.version = v.version;
+        r.body = v.body;
+        port.send(a.from.partner, r);
+    }
+
+    private void taken(Ask a, Object body, long now) {
+        if (body instanceof Queries.Status) reply(a, status());
+        else if (body instanceof Queries.ManifestGet) reply(a, withBody(records.rows().manifest));
+        else if (body instanceof Queries.Spread q) reply(a, spread(q, now));
+        else if (body instanceof Queries.PlanGet q) reply(a, plan(q));
+        else if (body instanceof Commands.ManifestPut c) putManifest(a, c);
+        else if (body instanceof Commands.RunnerPut c) putRunner(a, c, now);
+        else propose(body, v -> reply(a, v));
+    }
+
+    private static AskVerdict withBody(Object o) {
+        var v = Records.ok();
+        v.body = Codec.write(o);
+        return v;
+    }
+
+    private AskVerdict plan(Queries.PlanGet q) {
+        var p = records.rows().plans.get(q.plan);
+        return p == null ? Records.no(Kind.UNKNOWN_PLAN, "no plan " + q.plan) : withBody(p);
+    }
+
+    private void putManifest(Ask a, Commands.ManifestPut c) {
+        var m = ManifestReader.read(c.text);
+        if (m.isLeft()) reply(a, Records.no(m.getLeft().kind(), m.getLeft().detail()));
+        else propose(c, v -> reply(a, v));
+    }
+
+    private void putRunner(Ask a, Commands.RunnerPut c, long now) {
+        var s = records.rows().services.get(c.service);
+        var r = s == null ? null : s.runners.get(c.runner);
+        var same = r != null && r.up() && r.incarnation == c.incarnation && r.cold == c.cold && r.slots == c.slots
+            && r.cell.equals(c.cell) && r.address.equals(c.address);
+        if (r == null || c.incarnation >= r.incarnation) {
+            runnersSeen.put(c.service + "/" + c.runner, now);
+            runnerLoads.put(c.service + "/" + c.runner, c.load);
+        }
+        var cell = s == null ? -1 : s.cells.indexOf(c.cell);
+        if (s == null) reply(a, Records.no(Kind.UNKNOWN_SERVICE, "no service " + c.service));
+        else if (cell < 0 || !s.live(cell)) reply(a, Records.no(Kind.BAD_FIELD, "service " + c.service + " has no cell " + c.cell));
+        else if (same) reply(a, Records.ok());
+        else propose(c, v -> {
+            if (v.kind == 0) port.note(Event.RUNNER_UP, c.runner + " incarnation " + c.incarnation + (c.cold ? " cold" : ""));
+            reply(a, v);
+        });
+    }
+
+    private AskVerdict status() {
+        var s = new PartStatus();
+        s.part = part;
+        s.owner = directory.self().name;
+        s.term = group.term();
+        s.applied = group.applied();
+        var m = group.members();
+        for (var i = 0; i < m.voters.length; i++) s.group.add(storeName(m.voters[i]) + " (" + m.zones[i] + ")");
+        if (m.learner != 0) s.group.add(storeName(m.learner) + " (" + m.learnerZone + ", learner)");
+        s.members.addAll(records.rows().members.values());
+        s.services.addAll(records.rows().services.values());
+        s.plans.addAll(records.rows().plans.values());
+        s.manifest = records.rows().manifest;
+        s.loads.putAll(runnerLoads);
+        s.claims = records.rows().claims.size();
+        return withBody(s);
+    }
+
+    private String storeName(long id) {
+        var n = directory.store(id);
+        return n == null ? "unreached" : n.name;
+    }
+
+    private AskVerdict spread(Queries.Spread q, long now) {
+        var s = new Spread();
+        for (var m : records.rows().members.values()) {
+            var l = leases.get(m.node.name);
+            var have = l == null ? 0 : l.versions.getOrDefault(Parts.MANIFEST_TOPIC, 0L);
+            if (have >= q.version && !m.lapsed) continue;
+            s.missing.add(m.node.name);
+            var grace = membership.view().manifest() == null ? 0 : membership.view().manifest().lapsedGrace();
+            var silent = now - (l == null ? owningSince : l.seen);
+            if (m.node.isRouter() && silent < LAPSE + (m.node.zone.equals(q.zone) ? grace : 0)) s.able.add(m.node.name);
+        }
+        return withBody(s);
+    }
+
+    private void renew(Renew r, long now) {
+        if (!group.fresh(now)) {
+            var v = verdict(r, Kind.NOT_OWNER.code());
+            v.owner = otherOwner();
+            port.send(r.from.partner, v);
+            return;
+        }
+        var m = records.rows().members.get(r.from.name);
+        if (m != null && m.node.incarnation > r.from.incarnation) {
+            var v = verdict(r, Kind.STALE_MEMBER.code());
+            v.incarnation = m.node.incarnation;
+            port.send(r.from.partner, v);
+        } else if (r.leaving) {
+            leave(r, m);
+        } else if (m == null || m.lapsed || m.node.incarnation != r.from.incarnation || !m.node.partner.equals(r.from.partner)) {
+            var c = new Commands.MemberPut();
+            c.node = r.from;
+            propose(c, x -> { if (x.kind == 0) renewed(r, port.now()); });
+        } else {
+            renewed(r, now);
+        }
+    }
+
+    private void leave(Renew r, Rows.Member m) {
+        if (m == null) return;
+        var c = new Commands.MemberGone();
+        c.name = r.from.name;
+        c.incarnation = r.from.incarnation;
+        propose(c);
+    }
+
+    private RenewVerdict verdict(Renew r, int kind) {
+        var v = new RenewVerdict();
+        v.part = part;
+        v.kind = kind;
+        v.incarnation = r.from.incarnation;
+        v.stamp = r.stamp;
+        return v;
+    }
+
+    private void renewed(Renew r, long now) {
+        var l = leases.computeIfAbsent(r.from.name, k -> new Lease());
+        l.incarnation = r.from.incarnation;
+        l.seen = now;
+        for (var i = 0; i < r.topics.size(); i++) l.versions.put(r.topics.get(i), r.versions.get(i));
+        var v = verdict(r, 0);
+        v.owner = directory.self();
+        v.membersVersion = records.rows().membersVersion;
+        if (v.membersVersion != r.members)
+            v.members = new ArrayList<>(records.rows().members.values().stream().filter(m -> !m.lapsed).map(m -> m.node).toList());
+        for (var t : topicNames()) {
+            v.topics.add(t);
+            v.versions.add(version(t));
+        }
+        port.send(r.from.partner, v);
+    }
+
+    private List<String> topicNames() {
+        var all = new ArrayList<>(records.rows().services.keySet());
+        if (part == Parts.MANIFEST) all.add(Parts.MANIFEST_TOPIC);
+        return all;
+    }
+
+    private long version(String topic) {
+        if (topic.equals(Parts.MANIFEST_TOPIC)) return records.rows().manifest.topicVersion;
+        var s = records.rows().services.get(topic);
+        return s == null ? 0 : s.newsVersion;
+    }
+
+    private News news(String topic) {
+        var n = new News();
+        n.topic = topic;
+        n.version = version(topic);
+        n.body = Codec.write(topic.equals(Parts.MANIFEST_TOPIC) ? records.rows().manifest : records.rows().services.get(topic));
+        return n;
+    }
+
+    private void subscribe(Subscribe s, long now) {
+        if (!group.fresh(now) || version(s.topic) == 0) return;
+        subscribers.computeIfAbsent(s.topic, k -> new HashMap<>()).put(s.from.partner, now);
+        if (version(s.topic) > s.have) port.send(s.from.partner, news(s.topic));
+    }
+
+    private void spreadNews(long now) {
+        if (!group.fresh(now)) return;
+        for (var t : topicNames()) {
+            var v = version(t);
+            if (told.getOrDefault(t, 0L) >= v) continue;
+            told.put(t, v);
+            var all = subscribers.getOrDefault(t, Map.of());
+            all.values().removeIf(at -> now - at > SUBSCRIBED);
+            if (all.isEmpty()) continue;
+            var n = news(t);
+            all.keySet().forEach(a -> port.send(a, n));
+        }
+    }
+
+    private void watchMembers(long now) {
+        for (var m : List.copyOf(records.rows().members.values())) {
+            var l = leases.computeIfAbsent(m.node.name, k -> new Lease());
+            if (l.seen == 0) l.seen = owningSince;
+            if (!m.lapsed && now - l.seen > LAPSE) lapse(m);
+            else if (m.lapsed && now - l.seen > FORGET) forget(m);
+        }
+    }
+
+    private void lapse(Rows.Member m) {
+        var c = new Commands.MemberLapsed();
+        c.name = m.node.name;
+        c.incarnation = m.node.incarnation;
+        if (proposedOnce("lapse/" + c.name + "/" + c.incarnation)) return;
+        port.note(Event.MEMBER_LAPSED, m.node.name + " at part " + part);
+        propose(c, v -> proposed.remove("lapse/" + c.name + "/" + c.incarnation));
+    }
+
+    private void forget(Rows.Member m) {
+        var c = new Commands.MemberGone();
+        c.name = m.node.name;
+        c.incarnation = m.node.incarnation;
+        if (proposedOnce("gone/" + c.name)) return;
+        propose(c, v -> proposed.remove("gone/" + c.name));
+    }
+
+    private boolean proposedOnce(String key) { return !proposed.add(key); }
+
+    private void watchRunners(long now) {
+        for (var s : records.rows().services.values())
+            for (var r : s.runners.values()) {
+                var k = s.name + "/" + r.name;
+                var seen = runnersSeen.computeIfAbsent(k, x -> now);
+                if (!r.up() || now - seen <= RUNNER_DARK || proposedOnce("dark/" + k)) continue;
+                var c = new Commands.RunnerMark();
+                c.service = s.name;
+                c.runner = r.name;
+                c.incarnation = r.incarnation;
+                c.state = Rows.Runner.DARK;
+                port.note(Event.RUNNER_DARK, k);
+                propose(c, v -> proposed.remove("dark/" + k));
+            }
+    }
+
+    private void join(Join j, long now) {
+        if (!group.fresh(now) || group.members().has(j.from.storeId)) return;
+        wanting = new Wanting(j.from, now);
+    }
+
+    private void regroup(long now) {
+        var m = group.members();
+        if (m.learner != 0) {
+            settleLearner(m, now);
+            return;
+        }
+        if (m.voters.length > 3) {
+            dropSilent(m, now);
+            return;
+        }
+        if (wanting == null || now - wanting.at > REPLACE) return;
+        var rival = voterIn(m, wanting.node.zone);
+        if (rival != 0 && now - group.heardFrom(rival) < REPLACE) return;
+        group.regroup(m.withLearner(wanting.node.storeId, wanting.node.zone), now);
+        wanting = null;
+    }
+
+    private void settleLearner(Members m, long now) {
+        if (now - group.heardFrom(m.learner) > REPLACE && now - owningSince > REPLACE) group.regroup(m.without(m.learner), now);
+        else if (group.matchOf(m.learner) >= group.lastIndex() - 64 && now - owningSince > SETTLED) group.regroup(m.promoted(), now);
+    }
+
+    private void dropSilent(Members m, long now) {
+        for (var v : m.voters) {
+            if (v == directory.self().storeId || now - group.heardFrom(v) < REPLACE) continue;
+            group.regroup(m.without(v), now);
+            return;
+        }
+    }
+
+    private static long voterIn(Members m, String zone) {
+        for (var i = 0; i < m.voters.length; i++) if (m.zones[i].equals(zone)) return m.voters[i];
+        return 0;
+    }
+
+    private void age(long now) {
+        if (now - aged < AGE) return;
+        var r = records.rows();
+        if (!r.claims.isEmpty() || !r.quotas.isEmpty()) {
+            var c = new Commands.Age();
+            c.micros = now - aged;
+            var m = membership.view().manifest();
+            c.retention = m == null ? 86_400_000_000L : m.claimRetention();
+            propose(c);
+        }
+        aged = now;
+    }
+
+    private void syncServices() {
+        var v = membership.view();
+        if (v.manifest() == null || part == Parts.MANIFEST) return;
+        for (var s : v.manifest().services().values()) {
+            if (Parts.of(s.name()) != part) continue;
+            var row = records.rows().services.get(s.name());
+            if (row != null && row.manifestVersion >= v.topic().version || proposedOnce("sync/" + s.name())) continue;
+            propose(serviceSync(s, v.manifest(), v.topic().version), x -> proposed.remove("sync/" + s.name()));
+        }
+    }
+
+    private static Commands.ServiceSync serviceSync(Manifest.Service s, Manifest m, long version) {
+        var c = new Commands.ServiceSync();
+        c.service = s.name();
+        c.manifestVersion = version;
+        c.regions.addAll(m.regions());
+        for (var x : s.cells()) {
+            c.cells.add(x.name());
+            c.zones.add(x.zone());
+            c.cellRegions.add(m.regionOfZone(x.zone()));
+            c.weights.add(x.weight());
+        }
+        return c;
+    }
+
+    private void move(long now) {
+        var v = membership.view();
+        if (v.manifest() == null) return;
+        for (var s : records.rows().services.values()) {
+            if (proposed.contains("step/" + s.name)) continue;
+            var step = mover.step(s, v.manifest().service(s.name), v.topic().marks, c -> storeSynced(s, c, now), now);
+            if (step == null) continue;
+            proposed.add("step/" + s.name);
+            propose(step, x -> {
+                proposed.remove("step/" + step.service);
+                if (x.kind == 0) port.note(Event.MOVE_STEP, step.service + " " + step.units.length + " units, table version " + (step.tableVersion + 1));
+            });
+        }
+    }
+
+    private boolean storeSynced(Rows.Service s, int cell, long now) {
+        var id = voterIn(group.members(), s.zones.get(cell));
+        return id == 0 || id == directory.self().storeId || now - group.heardFrom(id) > SETTLED || group.matchOf(id) >= group.applied();
+    }
+
+    private void spreadOwners(long now) {
+        if (now - owningSince < SETTLED) return;
+        var m = group.members();
+        var order = m.voters.clone();
+        Arrays.sort(order);
+        var to = order[part % order.length];
+        if (to == directory.self().storeId || m.voters.length != 3 || m.learner != 0) return;
+        if (now - group.heardFrom(to) < Group.CALM && directory.store(to) != null) group.handOver(to, now);
+    }
+
+    private void handOver(long now) {
+        if (!group.ready()) return;
+        for (var v : group.members().voters)
+            if (v != directory.self().storeId && now - group.heardFrom(v) < Group.CALM && group.handOver(v, now)) return;
+    }
+}
--- /dev/null
+++ b/lib/control/src/main/java/craneway/control/store/Spread.java
@@ -0,0 +1,9 @@
+package craneway.control.store;
+
+import java.util.ArrayList;
+import java.util.List;
+
+public final class Spread {
+    public List<String> missing = new ArrayList<>();
+    public List<String> able = new ArrayList<>();
+}
--- /dev/null
+++ b/lib/control/src/main/java/craneway/control/store/Store.java
@@ -0,0 +1,238 @@
+package craneway.control.store;
+
+import craneway.control.node.Asker;
+import craneway.control.node.Directory;
+import craneway.control.node.Membership;
+import craneway.control.node.Port;
+import craneway.model.event.Event;
+import craneway.model.problem.Kind;
+import craneway.model.unit.Hash;
+import craneway.model.unit.Parts;
+import craneway.state.disk.DiskLost;
+import craneway.state.disk.DiskProblem;
+import craneway.state.disk.Folder;
+import craneway.state.message.BadMessage;
+import craneway.state.message.Codec;
+import craneway.state.message.Messages.Ask;
+import craneway.state.message.Messages.AskVerdict;
+import craneway.state.message.Messages.Founding;
+import craneway.state.message.Messages.Hello;
+import craneway.state.message.Messages.Join;
+import craneway.state.message.Messages.News;
+import craneway.state.message.Messages.Renew;
+import craneway.state.message.Messages.RenewVerdict;
+import craneway.state.message.Messages.Subscribe;
+import craneway.state.message.Node;
+import craneway.state.part.Members;
+import craneway.state.part.PartMessage;
+import craneway.state.record.Records;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+
+public final class Store {
+    private static final String IDENTITY = "identity", CORE = "core", KNOWN = "known", LOST = "lost.";
+    private static final long JOIN = 500_000, SAY = 5_000_000, SAVE = 5_000_000;
+
+    private final Port port;
+    private final Folder folder;
+    private final int expected;
+    private final Random random;
+    private final Directory directory;
+    private final Asker asker;
+    private final Membership membership;
+    private volatile Keeper[] keepers = {};
+    private long joinDue;
+    private long sayDue;
+    private long saveDue;
+    private String savedKnown = "";
+
+    public Store(Port port, Folder folder, Node self, List<String> seeds, int expected, Random random) {
+        this.port = port;
+        this.folder = folder;
+        this.expected = expected;
+        this.random = random;
+        self.storeId = identity();
+        directory = new Directory(port, self, withKnown(seeds));
+        asker = new Asker(port, directory, random.nextLong() >>> 8);
+        membership = new Membership(port, directory, asker);
+        reopen();
+    }
+
+    public Directory directory() { return directory; }
+    public Asker asker() { return asker; }
+    public Membership membership() { return membership; }
+    public Keeper[] keepers() { return keepers; }
+
+    private long identity() {
+        var b = folder.read(IDENTITY);
+        if (b != null && b.length == 8) return ByteBuffer.wrap(b).getLong();
+        if (!folder.names().isEmpty()) setAside("the identity is missing or damaged");
+        var id = random.nextLong() >>> 1 | 1;
+        folder.replace(IDENTITY, ByteBuffer.allocate(8).putLong(id).array());
+        return id;
+    }
+
+    private void setAside(String cause) {
+        port.note(Event.DISK_LOST, cause);
+        for (var n : folder.names()) {
+            if (n.startsWith(LOST)) continue;
+            var b = folder.read(n);
+            folder.delete(n);
+            folder.replace(LOST + n, b);
+        }
+    }
+
+    private List<String> withKnown(List<String> seeds) {
+        var all = new ArrayList<>(seeds);
+        var b = folder.read(KNOWN);
+        if (b != null) for (var a : new String(b).split("\n")) if (!a.isBlank() && !all.contains(a)) all.add(a);
+        return all;
+    }
+
+    private void reopen() {
+        var b = folder.read(CORE);
+        if (b == null) return;
+        try {
+            start(Codec.read(Founding.class, b));
+        } catch (DiskLost | BadMessage e) {
+            setAside(e.getMessage());
+            directory.self().storeId = identity();
+            directory.self().coreId = 0;
+            keepers = new Keeper[0];
+        }
+    }
+
+    private void start(Founding f) {
+        var self = directory.self().storeId;
+        directory.founding(f, f.coreId);
+        var first = f.has(self) ? Members.of(f.stores, f.zones) : new Members();
+        var all = new Keeper[Parts.COUNT];
+        for (var p = 0; p < all.length; p++)
+            all[p] = new Keeper(p, self, folder, first, port, directory, membership, new Random(random.nextLong()));
+        keepers = all;
+    }
+
+    public void tick() {
+        var now = port.now();
+        directory.tick(now);
+        if (directory.self().coreId == 0) found(now);
+        for (var k : keepers) k.tick();
+        membership.tick(now);
+        asker.tick(now);
+        if (now >= joinDue) join(now);
+        if (now >= saveDue) saveKnown(now);
+    }
+
+    private void join(long now) {
+        joinDue = now + JOIN;
+        for (var k : keepers) {
+            if (k.group().members().has(directory.self().storeId)) continue;
+            var to = asker.owner(k.group().part());
+            if (to == null) continue;
+            var j = new Join();
+            j.part = k.group().part();
+            j.from = directory.self();
+            port.send(to.partner, j);
+        }
+    }
+
+    private void saveKnown(long now) {
+        saveDue = now + SAVE;
+        var text = String.join("\n", directory.stores().stream().map(n -> n.partner).sorted().toList());
+        if (text.equals(savedKnown)) return;
+        try {
+            folder.replace(KNOWN, text.getBytes());
+            savedKnown = text;
+        } catch (DiskProblem e) {
+            port.note(Event.DISK_PROBLEM, KNOWN + ": " + e.getMessage());
+        }
+    }
+
+    private void found(long now) {
+        var heard = directory.known().stream().filter(k -> now - k.heard < Directory.STALE).toList();
+        var f = directory.founding();
+        if (f != null) {
+            adopt(f);
+            return;
+        }
+        if (heard.stream().anyMatch(k -> k.node.coreId != 0)) return;
+        var empty = new ArrayList<Node>();
+        empty.add(directory.self());
+        heard.stream().map(k -> k.node).filter(n -> n.kind.equals(Node.STORE)).forEach(empty::add);
+        empty.sort(Comparator.comparingLong(n -> n.storeId));
+        var digest = digest(empty);
+        directory.seen(digest);
+        var agreed = heard.stream().filter(k -> k.node.kind.equals(Node.STORE)).allMatch(k -> k.seen == digest);
+        if (empty.size() == expected && agreed) adopt(founding(empty, digest));
+        else if (now >= sayDue) sayWaiting(empty, now);
+    }
+
+    private void sayWaiting(List<Node> empty, long now) {
+        sayDue = now + SAY;
+        port.note(Event.WAITING_TO_FOUND, "sees " + empty.size() + " empty stores " + empty.stream().map(n -> n.name).toList()
+            + " and needs exactly " + expected + " that see one another");
+    }
+
+    private static long digest(List<Node> stores) {
+        var h = 1L;
+        for (var s : stores) h = Hash.of(h, s.storeId);
+        return h | 1;
+    }
+
+    private static Founding founding(List<Node> stores, long digest) {
+        var f = new Founding();
+        f.coreId = digest;
+        f.stores = stores.stream().mapToLong(n -> n.storeId).toArray();
+        f.zones = stores.stream().map(n -> n.zone).toArray(String[]::new);
+        return f;
+    }
+
+    private void adopt(Founding f) {
+        folder.replace(CORE, Codec.write(f));
+        port.note(f.has(directory.self().storeId) ? Event.FOUNDED : Event.JOINED_CORE, "core " + Long.toHexString(f.coreId));
+        start(f);
+    }
+
+    public void receive(Object m) {
+        var now = port.now();
+        if (m instanceof Hello h) directory.receive(h, now);
+        else if (m instanceof RenewVerdict v) membership.receive(v, now);
+        else if (m instanceof News n) membership.receive(n, now);
+        else if (m instanceof AskVerdict v) asker.receive(v);
+        else if (m instanceof PartMessage p) keeper(p.part, k -> k.receive(p));
+        else if (m instanceof Ask a) askKeeper(a);
+        else if (m instanceof Renew r) keeper(r.part, k -> k.receive(r));
+        else if (m instanceof Subscribe s) keeper(Parts.of(s.topic), k -> k.receive(s));
+        else if (m instanceof Join j) keeper(j.part, k -> k.receive(j));
+        else port.note(Event.BAD_MESSAGE, "a store takes no " + m.getClass().getSimpleName());
+    }
+
+    private void askKeeper(Ask a) {
+        if (keepers.length > 0) {
+            keeper(a.part, k -> k.receive(a));
+            return;
+        }
+        var v = Records.no(Kind.NOT_OWNER, "");
+        v.id = a.id;
+        port.send(a.from.partner, v);
+    }
+
+    private void keeper(int part, Consumer<Keeper> then) {
+        var all = keepers;
+        if (part >= 0 && part < all.length) then.accept(all[part]);
+    }
+
+    public boolean handOver() {
+        var owns = false;
+        for (var k : keepers) {
+            if (!k.owns()) continue;
+            owns = true;
+            k.handOver();
+        }
+        return owns;
+    }
+}
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/requester/Counts.java
@@ -0,0 +1,27 @@
+package craneway.data.requester;
+
+import craneway.model.problem.Kind;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
+
+public final class Counts {
+    public final AtomicLong taken = new AtomicLong();
+    public final AtomicLong forwardedIn = new AtomicLong();
+    public final AtomicLong forwardedOut = new AtomicLong();
+    public final AtomicLong dispatched = new AtomicLong();
+    public final AtomicLong extraTries = new AtomicLong();
+    public final AtomicLong whole = new AtomicLong();
+    public final AtomicLong cut = new AtomicLong();
+    public final AtomicLong buffered = new AtomicLong();
+    private final AtomicLongArray verdicts = new AtomicLongArray(Kind.values().length);
+
+    public void verdict(Kind k) { verdicts.incrementAndGet(k.ordinal()); }
+
+    public Map<String, Long> verdicts() {
+        var m = new TreeMap<String, Long>();
+        for (var k : Kind.values()) if (verdicts.get(k.ordinal()) > 0) m.put(k.name(), verdicts.get(k.ordinal()));
+        return m;
+    }
+}
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/requester/Course.java
@@ -0,0 +1,41 @@
+package craneway.data.requester;
+
+import craneway.state.record.Rows;
+import java.util.HashSet;
+import java.util.Set;
+
+final class Course {
+    final Transaction t;
+    final Line line;
+    final Set<String> avoided = new HashSet<>();
+    State state = State.TAKEN;
+    int tryNo;
+    boolean once;
+    boolean claimed;
+    boolean started;
+    long claimNo;
+    int unit;
+    long bufferedAt;
+    long needTable;
+    long notBefore;
+    Rows.Runner runner;
+    String router;
+
+    Course(Transaction t, Line line) {
+        this.t = t;
+        this.line = line;
+    }
+
+    boolean move(State to) {
+        var may = switch (state) {
+            case TAKEN, BUFFERED -> to != State.STREAMING;
+            case CLAIMING -> to != State.STREAMING && to != State.TAKEN;
+            case RUNNING -> to == State.TAKEN || to == State.STREAMING || to == State.ENDED;
+            case FORWARDED -> to == State.TAKEN || to == State.BUFFERED || to == State.STREAMING || to == State.ENDED;
+            case STREAMING -> to == State.ENDED;
+            case ENDED -> false;
+        };
+        if (may) state = to;
+        return may;
+    }
+}
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/requester/Decider.java
@@ -0,0 +1,131 @@
+package craneway.data.requester;
+
+import craneway.control.node.Membership.View;
+import craneway.control.plan.Mover;
+import craneway.data.runner.Chooser;
+import craneway.data.runner.Loads;
+import craneway.model.manifest.Manifest;
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import craneway.model.unit.Hash;
+import craneway.model.unit.Parts;
+import craneway.model.unit.Rendezvous;
+import craneway.model.unit.Table;
+import craneway.model.unit.Units;
+import craneway.state.message.Node;
+import craneway.state.record.Rows;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+public final class Decider {
+    private final String zone;
+    private final Loads loads;
+    private final Chooser chooser;
+
+    public Decider(String zone, Loads loads) {
+        this.zone = zone;
+        this.loads = loads;
+        this.chooser = new Chooser(loads);
+    }
+
+    public Decision ask(View v, Transaction t, Set<String> avoided, Map<String, Long> closedSince, long now) {
+        var m = v.manifest();
+        if (m == null) return decline(Kind.NO_MANIFEST);
+        if (now >= t.deadline()) return decline(Kind.DEADLINE_PASSED);
+        var service = m.service(t.service());
+        if (service == null) return new Decision.Decline(Problem.of(Kind.UNKNOWN_SERVICE, "no service " + t.service()));
+        var work = service.work(t.work());
+        if (work == null) return new Decision.Decline(Problem.of(Kind.UNKNOWN_WORK, "service " + t.service() + " has no work " + t.work()));
+        if (work.runOnce() && t.key().isEmpty()) return decline(Kind.RUN_ONCE_WITHOUT_KEY);
+        if (t.body().length > service.bodyLimit()) return decline(Kind.TOO_LARGE);
+        var row = v.services().get(t.service());
+        if (row == null || row.homes.length == 0) return new Decision.Buffer(Problem.of(Kind.NO_RUNNER));
+        return placed(v, t, service, row, work.runOnce(), avoided, closedSince, now);
+    }
+
+    private Decision placed(View v, Transaction t, Manifest.Service service, Rows.Service row, boolean once,
+                            Set<String> avoided, Map<String, Long> closedSince, long now) {
+        var set = regionSet(v, t, row);
+        if (set == 0) return decline(Kind.NO_HOME_REGION);
+        var unit = Units.unit(set, t.tenant());
+        var home = row.homes[unit];
+        if (home == Table.NOWHERE) return decline(Kind.NO_RUNNER);
+        var region = row.cellRegions.get(home);
+        var here = region.equals(v.manifest().regionOfZone(zone));
+        var leased = v.leased(Parts.of(t.service()), now) && v.leased(Parts.MANIFEST, now);
+        if (!leased && (once || !here || !row.zones.get(home).equals(zone) || pastGrace(v, t, now))) return decline(Kind.CUT_OFF);
+        if (!here && t.forwarded()) return new Decision.Decline(Problem.of(Kind.NOT_HOME, "table version " + row.tableVersion, row.tableVersion));
+        if (!here) return forward(v, t, region, unit, once, avoided);
+        if (closed(row, home, v, closedSince, now)) return new Decision.Buffer(Problem.of(Kind.NO_RUNNER));
+        return serve(v, t, service, row, home, unit, once, leased, avoided, now);
+    }
+
+    private static Decision decline(Kind k) { return new Decision.Decline(Problem.of(k)); }
+
+    private static boolean pastGrace(View v, Transaction t, long now) {
+        var end = Math.min(v.leaseEnd(Parts.of(t.service())), v.leaseEnd(Parts.MANIFEST));
+        return now >= end + v.manifest().lapsedGrace();
+    }
+
+    private static int regionSet(View v, Transaction t, Rows.Service row) {
+        var home = homeRegions(v, t.tenant());
+        var set = 0;
+        for (var r : home) {
+            var i = row.regions.indexOf(r);
+            if (i >= 0 && (t.regions().isEmpty() || t.regions().contains(r))) set |= 1 << i;
+        }
+        return set;
+    }
+
+    private static List<String> homeRegions(View v, String tenant) {
+        var kept = v.topic().marks.get("tenant:" + tenant);
+        return kept == null ? v.manifest().homeRegions(tenant) : List.of(kept.split(","));
+    }
+
+    private Decision forward(View v, Transaction t, String region, int unit, boolean once, Set<String> avoided) {
+        var there = new HashMap<String, Node>();
+        for (var n : v.members().get(Parts.of(t.service())))
+            if (n.isRouter() && !avoided.contains(n.name) && region.equals(v.manifest().regionOfZone(n.zone))) there.put(n.name, n);
+        if (there.isEmpty()) return decline(Kind.NO_PATH);
+        return new Decision.Forward(there.get(Rendezvous.pick(t.service() + "/" + unit, there.keySet())), unit, once);
+    }
+
+    private static boolean closed(Rows.Service row, int home, View v, Map<String, Long> closedSince, long now) {
+        if (!Mover.closed(row, v.topic().marks).get(home)) return false;
+        var since = Math.max(closedSince.getOrDefault("zone:" + row.zones.get(home), Long.MIN_VALUE),
+            closedSince.getOrDefault("cell:" + row.name + "/" + row.cells.get(home), Long.MIN_VALUE));
+        return now >= since + Executor.DRAIN;
+    }
+
+    private Decision serve(View v, Transaction t, Manifest.Service service, Rows.Service row, int home, int unit,
+                           boolean once, boolean leased, Set<String> avoided, long now) {
+        var cell = row.cells.get(home);
+        var able = new ArrayList<Rows.Runner>();
+        for (var r : row.runners.values())
+            if (r.up() && r.cell.equals(cell) && !avoided.contains(r.name) && loads.usable(r, now)
+                && (leased || loads.heardLately(r.name, now))) able.add(r);
+        if (able.isEmpty()) return new Decision.Buffer(Problem.of(Kind.NO_RUNNER));
+        var best = chooser.choose(able, Hash.of(t.prefix(), Hash.of(t.service())), service.warmUp(), routersHere(v, t), now);
+        if (best == null) return new Decision.Buffer(Problem.of(Kind.BUSY));
+        return new Decision.Serve(best, unit, row.tableVersion, once);
+    }
+
+    public boolean still(View v, Transaction t, Rows.Runner r, Map<String, Long> closedSince, long now) {
+        var row = v.services().get(t.service());
+        var known = row == null ? null : row.runners.get(r.name);
+        if (known == null || !known.up() || known.incarnation != r.incarnation || !loads.usable(known, now)) return false;
+        if (closed(row, row.cells.indexOf(known.cell), v, closedSince, now)) return false;
+        if (v.leased(Parts.of(t.service()), now) && v.leased(Parts.MANIFEST, now)) return true;
+        var work = v.manifest().service(t.service()) == null ? null : v.manifest().service(t.service()).work(t.work());
+        return work != null && !work.runOnce() && !pastGrace(v, t, now) && loads.heardLately(r.name, now);
+    }
+
+    private int routersHere(View v, Transaction t) {
+        var n = 0;
+        for (var x : v.members().get(Parts.of(t.service()))) if (x.isRouter() && x.zone.equals(zone)) n++;
+        return n;
+    }
+}
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/requester/Decision.java
@@ -0,0 +1,12 @@
+package craneway.data.requester;
+
+import craneway.model.problem.Problem;
+import craneway.state.message.Node;
+import craneway.state.record.Rows;
+
+public sealed interface Decision {
+    record Serve(Rows.Runner runner, int unit, long tableVersion, boolean runOnce) implements Decision { }
+    record Forward(Node router, int unit, boolean runOnce) implements Decision { }
+    record Buffer(Problem otherwise) implements Decision { }
+    record Decline(Problem problem) implements Decision { }
+}
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/requester/Executor.java
@@ -0,0 +1,406 @@
+package craneway.data.requester;
+
+import craneway.control.node.Asker;
+import craneway.control.node.Directory;
+import craneway.control.node.Membership;
+import craneway.control.node.Port;
+import craneway.data.runner.Loads;
+import craneway.model.event.Event;
+import craneway.model.problem.Bearing;
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import craneway.model.unit.Hash;
+import craneway.model.unit.Parts;
+import craneway.state.message.Commands;
+import craneway.state.message.Messages.AskVerdict;
+import craneway.state.record.Rows;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+public final class Executor {
+    public static final long DRAIN = 1_500_000;
+    private static final long PATIENCE = 5_000_000, CLAIM_PATIENCE = 3_000_000, FINISH_PATIENCE = 60_000_000, RECHECK = 100_000;
+
+    private final Port port;
+    private final Directory directory;
+    private final Membership membership;
+    private final Asker asker;
+    private final Loads loads;
+    private final Decider decider;
+    private final Tries tries = new Tries();
+    private final Counts counts = new Counts();
+    private final Map<Long, Course> courses = new ConcurrentHashMap<>();
+    private final Map<String, ConcurrentLinkedQueue<Course>> buffers = new ConcurrentHashMap<>();
+    private final Map<String, AtomicInteger> buffered = new ConcurrentHashMap<>();
+    private final Map<String, Long> closedSince = new ConcurrentHashMap<>();
+    private final AtomicLong claimNo = new AtomicLong();
+    private volatile boolean stopping;
+
+    public Executor(Port port, Directory directory, Membership membership, Asker asker, Loads loads) {
+        this.port = port;
+        this.directory = directory;
+        this.membership = membership;
+        this.asker = asker;
+        this.loads = loads;
+        this.decider = new Decider(directory.self().zone, loads);
+    }
+
+    public Counts counts() { return counts; }
+
+    public int open() { return courses.size(); }
+
+    public void stop() { stopping = true; }
+
+    public void take(Transaction t, Line line) {
+        counts.taken.incrementAndGet();
+        if (t.forwarded()) counts.forwardedIn.incrementAndGet();
+        tries.earn();
+        var c = new Course(t, line);
+        courses.put(t.id(), c);
+        synchronized (c) {
+            if (stopping) end(c, Problem.of(Kind.STOPPING));
+            else decide(c);
+        }
+    }
+
+    private void decide(Course c) {
+        var now = port.now();
+        var d = decider.ask(membership.view(), c.t, c.avoided, closedSince, now);
+        if (d instanceof Decision.Serve s) serve(c, s);
+        else if (d instanceof Decision.Forward f) forward(c, f);
+        else if (d instanceof Decision.Buffer b) buffer(c, b.otherwise(), now);
+        else if (d instanceof Decision.Decline x) end(c, x.problem());
+    }
+
+    private void serve(Course c, Decision.Serve s) {
+        c.unit = s.unit();
+        c.once = s.runOnce();
+        if (c.once && !c.claimed) {
+            claim(c, s);
+            return;
+        }
+        if (!c.move(State.RUNNING)) return;
+        if (!c.t.forwarded() && c.tryNo == 0) tries.earn();
+        c.tryNo++;
+        c.runner = s.runner();
+        loads.started(c.runner.name);
+        counts.dispatched.incrementAndGet();
+        c.line.serve(c.tryNo, c.runner);
+    }
+
+    private void forward(Course c, Decision.Forward f) {
+        c.once = f.runOnce();
+        if (c.claimed) {
+            freeThenDecide(c);
+            return;
+        }
+        if (!c.move(State.FORWARDED)) return;
+        c.tryNo++;
+        c.router = f.router().name;
+        counts.forwardedOut.incrementAndGet();
+        c.line.forward(c.tryNo, f.router());
+    }
+
+    private void buffer(Course c, Problem otherwise, long now) {
+        if (c.bufferedAt == 0) c.bufferedAt = now;
+        var service = membership.view().manifest().service(c.t.service());
+        var n = buffered.computeIfAbsent(c.t.service(), k -> new AtomicInteger());
+        var full = c.state != State.BUFFERED && n.get() >= service.buffer();
+        if (full || now - c.bufferedAt > PATIENCE || stopping && otherwise.kind() == Kind.NO_RUNNER) {
+            end(c, full ? Problem.of(Kind.BUSY) : otherwise);
+            return;
+        }
+        if (c.state == State.BUFFERED || !c.move(State.BUFFERED)) return;
+        counts.buffered.incrementAndGet();
+        n.incrementAndGet();
+        buffers.computeIfAbsent(c.t.service(), k -> new ConcurrentLinkedQueue<>()).add(c);
+    }
+
+    private void claim(Course c, Decision.Serve s) {
+        if (!c.move(State.CLAIMING)) return;
+        var x = new Commands.Claim();
+        x.service = c.t.service();
+        x.key = key(c.t);
+        x.unit = s.unit();
+        x.tableVersion = s.tableVersion();
+        x.region = membership.view().manifest().regionOfZone(directory.self().zone);
+        x.holder = directory.self().name;
+        x.incarnation = directory.self().incarnation;
+        x.tryNo = c.claimNo = claimNo.incrementAndGet();
+        asker.ask(Parts.of(x.service), x, Math.min(CLAIM_PATIENCE, Math.max(1, c.t.deadline() - port.now())), v -> claimed(c, v));
+    }
+
+    private void freeThenDecide(Course c) {
+        if (!c.move(State.CLAIMING)) return;
+        asker.ask(Parts.of(c.t.service()), finish(c, Rows.Claim.FREED), CLAIM_PATIENCE, v -> {
+            synchronized (c) {
+                if (v.kind == 0) c.claimed = false;
+                if (c.state != State.CLAIMING) return;
+                if (v.kind == 0) decide(c);
+                else end(c, Problem.of(Kind.NO_OWNER));
+            }
+        });
+    }
+
+    private Commands.Finish finish(Course c, int state) {
+        var x = new Commands.Finish();
+        x.service = c.t.service();
+        x.key = key(c.t);
+        x.holder = directory.self().name;
+        x.incarnation = directory.self().incarnation;
+        x.tryNo = c.claimNo;
+        x.state = state;
+        return x;
+    }
+
+    private static String key(Transaction t) {
+        var whole = t.service() + "\n" + t.tenant() + "\n" + t.key();
+        return Long.toHexString(Hash.of(whole)) + Long.toHexString(Hash.of("2\n" + whole));
+    }
+
+    private void claimed(Course c, AskVerdict v) {
+        synchronized (c) {
+            if (v.kind == 0) c.claimed = true;
+            if (c.state != State.CLAIMING) {
+                giveBack(c, Rows.Claim.FREED);
+                return;
+            }
+            if (v.kind == 0) decide(c);
+            else notClaimed(c, Kind.of(v.kind), v);
+        }
+    }
+
+    private void notClaimed(Course c, Kind k, AskVerdict v) {
+        switch (k) {
+            case STALE_TABLE, NOT_UNIT_HOME -> {
+                c.needTable = v.version;
+                buffer(c, Problem.of(Kind.NOT_HOME), port.now());
+            }
+            case UNCERTAIN, NO_OWNER -> {
+                c.claimed = true;
+                end(c, Problem.of(Kind.NO_OWNER));
+            }
+            case STALE_MEMBER -> end(c, Problem.of(Kind.CUT_OFF));
+            default -> end(c, Problem.of(k, v.detail));
+        }
+    }
+
+    private void giveBack(Course c, int state) {
+        if (!c.claimed) return;
+        c.claimed = false;
+        asker.ask(Parts.of(c.t.service()), finish(c, state), FINISH_PATIENCE, v -> { });
+    }
+
+    private void end(Course c, Problem given) {
+        if (!c.move(State.ENDED)) return;
+        var p = c.started && given.kind().bearing() == Bearing.DECLINED
+            ? Problem.of(Kind.RUN_BROKEN, "an earlier try broke off; then: " + given.detail()) : given;
+        giveBack(c, p.kind().bearing() == Bearing.DECLINED ? Rows.Claim.FREED : Rows.Claim.UNKNOWN);
+        courses.remove(c.t.id());
+        counts.verdict(p.kind());
+        c.line.verdict(p);
+    }
+
+    private void leaveRunner(Course c) {
+        if (c.runner == null) return;
+        loads.ended(c.runner.name);
+        c.runner = null;
+    }
+
+    private Course at(long id, int tryNo) {
+        var c = courses.get(id);
+        return c != null && c.tryNo == tryNo ? c : null;
+    }
+
+    public void notRun(long id, int tryNo, Problem p) {
+        var c = at(id, tryNo);
+        if (c == null) return;
+        synchronized (c) {
+            if (c.state != State.RUNNING && c.state != State.FORWARDED) return;
+            if (c.state == State.FORWARDED) partnerDeclined(c, p);
+            else runnerDeclined(c, p);
+        }
+        wake(c.t.service());
+    }
+
+    public void refusedWork(long id, int tryNo, Problem p) {
+        var c = at(id, tryNo);
+        if (c == null) return;
+        synchronized (c) {
+            if (c.state != State.RUNNING && c.state != State.FORWARDED) return;
+            leaveRunner(c);
+            end(c, p);
+        }
+        wake(c.t.service());
+    }
+
+    private void runnerDeclined(Course c, Problem p) {
+        var name = c.runner.name;
+        if (p.kind() == Kind.BUSY) loads.reported(name, c.runner.slots, port.now());
+        else c.avoided.add(name);
+        if (p.kind() == Kind.NO_PATH) loads.eject(name, port.now());
+        leaveRunner(c);
+        again(c);
+    }
+
+    private void partnerDeclined(Course c, Problem p) {
+        if (p.kind() == Kind.NOT_HOME) {
+            c.needTable = p.retryAfter();
+            c.notBefore = port.now() + RECHECK;
+            if (tries.spend()) {
+                counts.extraTries.incrementAndGet();
+                buffer(c, Problem.of(Kind.NOT_HOME), port.now());
+            } else end(c, Problem.of(Kind.TRIES_SPENT));
+            return;
+        }
+        c.avoided.add(c.router);
+        if (p.kind() == Kind.NO_PATH || p.kind() == Kind.STOPPING || p.kind() == Kind.CUT_OFF) again(c);
+        else end(c, p);
+    }
+
+    private void again(Course c) {
+        if (!tries.spend()) {
+            end(c, Problem.of(Kind.TRIES_SPENT));
+            return;
+        }
+        counts.extraTries.incrementAndGet();
+        if (c.move(State.TAKEN)) decide(c);
+    }
+
+    public boolean clear(long id, int tryNo) {
+        var c = at(id, tryNo);
+        if (c == null) return false;
+        synchronized (c) {
+            if (c.state == State.FORWARDED) return true;
+            if (c.state != State.RUNNING) return false;
+            if (decider.still(membership.view(), c.t, c.runner, closedSince, port.now())) return true;
+            leaveRunner(c);
+            if (c.move(State.TAKEN)) decide(c);
+            return false;
+        }
+    }
+
+    public boolean opened(long id, int tryNo) {
+        var c = at(id, tryNo);
+        if (c == null) return false;
+        synchronized (c) { return c.move(State.STREAMING); }
+    }
+
+    public void whole(long id, int tryNo) {
+        var c = at(id, tryNo);
+        if (c == null) return;
+        synchronized (c) {
+            if (!c.move(State.ENDED)) return;
+            counts.whole.incrementAndGet();
+            giveBack(c, Rows.Claim.DONE);
+            leaveRunner(c);
+            courses.remove(id);
+        }
+        wake(c.t.service());
+    }
+
+    public void broken(long id, int tryNo) {
+        var c = at(id, tryNo);
+        if (c == null) return;
+        synchronized (c) {
+            var forwarded = c.state == State.FORWARDED;
+            if (c.state == State.STREAMING) cutOff(c, Problem.of(Kind.RUN_BROKEN));
+            else if (c.state == State.RUNNING || forwarded) brokenEarly(c, forwarded);
+        }
+        wake(c.t.service());
+    }
+
+    private void brokenEarly(Course c, boolean forwarded) {
+        var name = forwarded ? c.router : c.runner.name;
+        leaveRunner(c);
+        c.avoided.add(name);
+        if (!forwarded) loads.eject(name, port.now());
+        if (c.once) end(c, Problem.of(Kind.OUTCOME_UNKNOWN));
+        else {
+            c.started = true;
+            again(c);
+        }
+    }
+
+    private void cutOff(Course c, Problem p) {
+        if (!c.move(State.ENDED)) return;
+        counts.cut.incrementAndGet();
+        port.note(Event.CUT_STREAM, c.t.service() + " " + c.t.work() + " transaction " + c.t.id());
+        giveBack(c, Rows.Claim.UNKNOWN);
+        leaveRunner(c);
+        courses.remove(c.t.id());
+        c.line.cut(p);
+    }
+
+    public void gone(long id) {
+        var c = courses.get(id);
+        if (c == null) return;
+        synchronized (c) {
+            var ran = c.state == State.RUNNING || c.state == State.STREAMING || c.state == State.FORWARDED;
+            if (!c.move(State.ENDED)) return;
+            giveBack(c, ran ? Rows.Claim.UNKNOWN : Rows.Claim.FREED);
+            leaveRunner(c);
+            courses.remove(id);
+            c.line.cut(Problem.of(Kind.RUN_BROKEN, "the requester went away"));
+        }
+        wake(c.t.service());
+    }
+
+    public void tick(long now) {
+        var v = membership.view();
+        for (var k : v.topic().marks.keySet()) closedSince.putIfAbsent(k, now);
+        closedSince.keySet().removeIf(k -> !v.topic().marks.containsKey(k));
+        for (var s : v.services().values()) for (var r : s.runners.values()) loads.meet(r, now);
+        for (var s : buffers.keySet()) wake(s);
+        for (var c : List.copyOf(courses.values())) if (now >= c.t.deadline()) late(c);
+    }
+
+    private void late(Course c) {
+        synchronized (c) {
+            if (c.state == State.STREAMING) {
+                cutOff(c, Problem.of(Kind.RUN_BROKEN, "the deadline passed while the work ran"));
+            } else if (c.state == State.RUNNING || c.state == State.FORWARDED) {
+                leaveRunner(c);
+                end(c, c.once ? Problem.of(Kind.OUTCOME_UNKNOWN) : Problem.of(Kind.RUN_BROKEN, "the deadline passed while the work ran"));
+            }
+        }
+    }
+
+    private void wake(String service) {
+        var q = buffers.get(service);
+        if (q == null) return;
+        for (var n = q.size(); n > 0; n--) {
+            var c = q.poll();
+            if (c == null) return;
+            synchronized (c) {
+                if (c.state != State.BUFFERED) {
+                    buffered.get(service).decrementAndGet();
+                    continue;
+                }
+                if (!tableReady(c) || port.now() < c.notBefore) {
+                    q.add(c);
+                    expire(c);
+                    continue;
+                }
+                decide(c);
+                if (c.state == State.BUFFERED) q.add(c);
+                else buffered.get(service).decrementAndGet();
+            }
+        }
+    }
+
+    private boolean tableReady(Course c) {
+        var s = membership.view().services().get(c.t.service());
+        return s == null || s.tableVersion >= c.needTable;
+    }
+
+    private void expire(Course c) {
+        var now = port.now();
+        if (now >= c.t.deadline()) end(c, Problem.of(Kind.DEADLINE_PASSED));
+        else if (now - c.bufferedAt > PATIENCE) end(c, Problem.of(Kind.NOT_HOME));
+    }
+}
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/requester/State.java
@@ -0,0 +1,3 @@
+package craneway.data.requester;
+
+enum State { TAKEN, BUFFERED, CLAIMING, RUNNING, FORWARDED, STREAMING, ENDED }
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/router/Router.java
@@ -0,0 +1,94 @@
+package craneway.data.router;
+
+import craneway.control.node.Asker;
+import craneway.control.node.Directory;
+import craneway.control.node.Membership;
+import craneway.control.node.Port;
+import craneway.data.requester.Executor;
+import craneway.data.runner.Announcement;
+import craneway.data.runner.Loads;
+import craneway.model.event.Event;
+import craneway.model.unit.Parts;
+import craneway.state.message.Commands;
+import craneway.state.message.Messages.AskVerdict;
+import craneway.state.message.Messages.Hello;
+import craneway.state.message.Messages.News;
+import craneway.state.message.Messages.RenewVerdict;
+import craneway.state.message.Messages.Subscribe;
+import craneway.state.message.Node;
+import craneway.state.record.Rows;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+
+public final class Router {
+    private static final long PATIENCE = 3_000_000;
+
+    private final Port port;
+    private final Directory directory;
+    private final Asker asker;
+    private final Membership membership;
+    private final Loads loads = new Loads();
+    private final Executor executor;
+    private volatile boolean stopping;
+
+    public Router(Port port, Node self, List<String> seeds, Random random) {
+        this.port = port;
+        directory = new Directory(port, self, seeds);
+        asker = new Asker(port, directory, random.nextLong() >>> 8);
+        membership = new Membership(port, directory, asker);
+        executor = new Executor(port, directory, membership, asker, loads);
+    }
+
+    public Directory directory() { return directory; }
+    public Asker asker() { return asker; }
+    public Membership membership() { return membership; }
+    public Executor executor() { return executor; }
+    public Loads loads() { return loads; }
+
+    public boolean ready() { return !stopping && membership.current(); }
+
+    public void unready() { stopping = true; }
+
+    public void tick() {
+        var now = port.now();
+        directory.tick(now);
+        membership.tick(now);
+        asker.tick(now);
+        executor.tick(now);
+    }
+
+    public void receive(Object m) {
+        var now = port.now();
+        if (m instanceof Hello h) directory.receive(h, now);
+        else if (m instanceof RenewVerdict v) membership.receive(v, now);
+        else if (m instanceof Subscribe s) membership.receive(s, now);
+        else if (m instanceof News n) membership.receive(n, now);
+        else if (m instanceof AskVerdict v) asker.receive(v);
+        else port.note(Event.BAD_MESSAGE, "a router takes no " + m.getClass().getSimpleName());
+    }
+
+    public void announce(Announcement a, Consumer<AskVerdict> then) {
+        loads.heard(a.name(), a.incarnation(), a.load(), port.now());
+        var c = new Commands.RunnerPut();
+        c.service = a.service();
+        c.runner = a.name();
+        c.address = a.address();
+        c.cell = a.cell();
+        c.slots = a.slots();
+        c.incarnation = a.incarnation();
+        c.cold = a.cold();
+        c.load = a.load();
+        asker.ask(Parts.of(a.service()), c, PATIENCE, then);
+    }
+
+    public void leave(String service, String runner, long incarnation, Consumer<AskVerdict> then) {
+        loads.leaving(runner, incarnation);
+        var c = new Commands.RunnerMark();
+        c.service = service;
+        c.runner = runner;
+        c.incarnation = incarnation;
+        c.state = Rows.Runner.LEAVING;
+        asker.ask(Parts.of(service), c, PATIENCE, then);
+    }
+}
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/runner/Loads.java
@@ -0,0 +1,105 @@
+package craneway.data.runner;
+
+import craneway.state.record.Rows;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+public final class Loads {
+    public static final long HEARD = 2_500_000;
+    private static final long REPORT_FRESH = 1_500_000, EJECTED = 1_000_000;
+
+    private static final class Load {
+        long incarnation = Long.MIN_VALUE;
+        long since;
+        int running;
+        int reported;
+        long reportedAt = Long.MIN_VALUE / 2;
+        long heard = Long.MIN_VALUE / 2;
+        long ejectedUntil = Long.MIN_VALUE / 2;
+        boolean leaving;
+    }
+
+    private final Map<String, Load> loads = new ConcurrentHashMap<>();
+
+    private Load of(String runner) { return loads.computeIfAbsent(runner, k -> new Load()); }
+
+    public void meet(Rows.Runner r, long now) {
+        var l = of(r.name);
+        synchronized (l) {
+            if (l.incarnation >= r.incarnation) return;
+            l.incarnation = r.incarnation;
+            l.since = now;
+            l.leaving = false;
+            l.ejectedUntil = now;
+            l.reportedAt = Long.MIN_VALUE / 2;
+        }
+    }
+
+    public void heard(String runner, long incarnation, int load, long now) {
+        var l = of(runner);
+        synchronized (l) {
+            if (incarnation < l.incarnation) return;
+            l.heard = now;
+        }
+        reported(runner, load, now);
+    }
+
+    public void reported(String runner, int load, long now) {
+        var l = of(runner);
+        synchronized (l) {
+            l.reported = load;
+            l.reportedAt = now;
+        }
+    }
+
+    public void leaving(String runner, long incarnation) {
+        var l = of(runner);
+        synchronized (l) {
+            if (incarnation >= l.incarnation) l.leaving = true;
+        }
+    }
+
+    public void eject(String runner, long now) {
+        var l = of(runner);
+        synchronized (l) { l.ejectedUntil = now + EJECTED; }
+    }
+
+    public void started(String runner) {
+        var l = of(runner);
+        synchronized (l) { l.running++; }
+    }
+
+    public void ended(String runner) {
+        var l = of(runner);
+        synchronized (l) { l.running--; }
+    }
+
+    public int running(String runner) {
+        var l = of(runner);
+        synchronized (l) { return l.running; }
+    }
+
+    public int load(String runner, long now) {
+        var l = of(runner);
+        synchronized (l) { return now - l.reportedAt < REPORT_FRESH ? Math.max(l.running, l.reported) : l.running; }
+    }
+
+    public boolean usable(Rows.Runner r, long now) {
+        var l = of(r.name);
+        synchronized (l) { return !(l.leaving && l.incarnation >= r.incarnation) && now >= l.ejectedUntil; }
+    }
+
+    public boolean heardLately(String runner, long now) {
+        var l = of(runner);
+        synchronized (l) { return now - l.heard < HEARD; }
+    }
+
+    public int room(Rows.Runner r, long warmUp, int routers, long now) {
+        var l = of(r.name);
+        synchronized (l) {
+            var past = now - l.since;
+            if (!r.cold || past >= warmUp) return r.slots;
+            return Math.max(1, (int) (r.slots * past / warmUp) / Math.max(1, routers));
+        }
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/http/Names.java
@@ -0,0 +1,25 @@
+package craneway.link.http;
+
+import io.undertow.util.HttpString;
+
+public final class Names {
+    public static final HttpString TENANT = new HttpString("craneway-tenant");
+    public static final HttpString WORK = new HttpString("craneway-work");
+    public static final HttpString KEY = new HttpString("craneway-key");
+    public static final HttpString REGIONS = new HttpString("craneway-regions");
+    public static final HttpString DEADLINE = new HttpString("craneway-deadline-ms");
+    public static final HttpString HOP = new HttpString("craneway-hop");
+    public static final HttpString TABLE = new HttpString("craneway-table");
+    public static final HttpString PROBLEM = new HttpString("craneway-problem");
+    public static final HttpString RETRY_MICROS = new HttpString("craneway-retry-micros");
+    public static final HttpString LOAD = new HttpString("craneway-load");
+    public static final HttpString TRANSACTION = new HttpString("craneway-transaction");
+    public static final HttpString ROUTER = new HttpString("craneway-router");
+    public static final HttpString CORE = new HttpString("craneway-core");
+    public static final HttpString WIRE = new HttpString("craneway-wire");
+    public static final HttpString BASE = new HttpString("craneway-base");
+    public static final HttpString VERSION = new HttpString("craneway-version");
+    public static final String WIRE_VERSION = "1";
+
+    private Names() { }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/operator/OperatorDesk.java
@@ -0,0 +1,129 @@
+package craneway.link.operator;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import craneway.control.operator.Intent;
+import craneway.control.operator.Operator;
+import craneway.link.http.Names;
+import craneway.link.http.Problems;
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.regex.Pattern;
+
+public final class OperatorDesk implements HttpHandler {
+    private static final JsonMapper JSON = JsonMapper.builder().build();
+    private static final Pattern PLAN = Pattern.compile("/v1/plans/(\\d{1,18})(/confirm|/stop|/watch)?");
+
+    private final String node;
+    private final Operator operator;
+    private final Supplier<String> metrics;
+
+    public OperatorDesk(String node, Operator operator, Supplier<String> metrics) {
+        this.node = node;
+        this.operator = operator;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange x) {
+        var path = x.getRequestPath();
+        var m = PLAN.matcher(path);
+        switch (x.getRequestMethod() + " " + path) {
+            case "GET /v1/status" -> status(x);
+            case "GET /v1/manifest" -> manifest(x);
+            case "PUT /v1/manifest" -> withBody(x, b -> send(x, b));
+            case "POST /v1/intents" -> withBody(x, b -> intent(x, b));
+            case "GET /metrics" -> metrics(x);
+            default -> {
+                if (m.matches()) plan(x, Long.parseLong(m.group(1)), m.group(2) == null ? "" : m.group(2));
+                else Problems.send(x, Problem.of(Kind.NO_SUCH_PAGE));
+            }
+        }
+    }
+
+    private static void withBody(HttpServerExchange x, Consumer<byte[]> then) {
+        x.getRequestReceiver().receiveFullBytes((e, b) -> {
+            e.dispatch();
+            then.accept(b);
+        }, (e, p) -> Problems.send(e, Problem.of(Kind.TOO_LARGE)));
+    }
+
+    private void metrics(HttpServerExchange x) {
+        x.getResponseSender().send(metrics.get(), StandardCharsets.UTF_8);
+    }
+
+    private void status(HttpServerExchange x) {
+        x.dispatch();
+        operator.status(parts -> Problems.sendJson(x, StatusJson.of(node, parts).toPrettyString()));
+    }
+
+    private void manifest(HttpServerExchange x) {
+        x.dispatch();
+        operator.manifest(r -> {
+            if (r.isLeft()) Problems.send(x, r.getLeft());
+            else if (r.get().text.isEmpty()) Problems.send(x, Problem.of(Kind.NO_MANIFEST));
+            else {
+                x.getResponseHeaders().put(Names.VERSION, r.get().version);
+                Problems.sendJson(x, r.get().text);
+            }
+        });
+    }
+
+    private void send(HttpServerExchange x, byte[] b) {
+        var base = x.getRequestHeaders().getFirst(Names.BASE);
+        if (base == null || !base.matches("\\d{1,18}")) {
+            Problems.send(x, Problem.of(Kind.BAD_OPERATOR_INPUT, "name the version this manifest was written against in the header " + Names.BASE));
+            return;
+        }
+        operator.send(Long.parseLong(base), new String(b, StandardCharsets.UTF_8), r -> reply(x, r, OperatorDesk::carried));
+    }
+
+    private static ObjectNode carried(Operator.Carried c) {
+        var n = Problems.JSON.createObjectNode();
+        n.put("version", c.version()).put("everywhere", c.missing().isEmpty());
+        c.missing().forEach(n.putArray("notReached")::add);
+        return n;
+    }
+
+    private static ObjectNode confirmed(Operator.Carried c) {
+        var n = Problems.JSON.createObjectNode();
+        n.put("plan", c.version()).put("state", c.able().isEmpty() ? "confirmed" : "pending");
+        c.able().forEach(n.putArray("notAcknowledged")::add);
+        return n;
+    }
+
+    private void intent(HttpServerExchange x, byte[] b) {
+        try {
+            operator.plan(JSON.readValue(b, Intent.class), r -> reply(x, r, StatusJson::plan));
+        } catch (JsonProcessingException e) {
+            Problems.send(x, Problem.of(Kind.BAD_OPERATOR_INPUT, e.getOriginalMessage()));
+        } catch (IOException e) {
+            Problems.send(x, Problem.of(Kind.BAD_OPERATOR_INPUT, e.getMessage()));
+        }
+    }
+
+    private void plan(HttpServerExchange x, long id, String act) {
+        x.dispatch();
+        switch (x.getRequestMethod() + act) {
+            case "GET" -> operator.show(id, r -> reply(x, r, StatusJson::plan));
+            case "POST/confirm" -> operator.confirm(id, r -> reply(x, r, OperatorDesk::confirmed));
+            case "GET/watch" -> operator.watch(id, r -> reply(x, r, OperatorDesk::confirmed));
+            case "POST/stop" -> operator.stop(id, r -> reply(x, r, v -> Problems.JSON.createObjectNode().put("plan", v).put("state", "stopped")));
+            default -> Problems.send(x, Problem.of(Kind.WRONG_METHOD));
+        }
+    }
+
+    private static <T> void reply(HttpServerExchange x, Either<Problem, T> r, Function<T, ObjectNode> json) {
+        if (r.isLeft()) Problems.send(x, r.getLeft());
+        else Problems.sendJson(x, json.apply(r.get()).toString());
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/partner/Post.java
@@ -0,0 +1,98 @@
+package craneway.link.partner;
+
+import craneway.link.http.Caller;
+import craneway.link.http.Names;
+import craneway.state.message.Codec;
+import io.undertow.client.ClientConnection;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Methods;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+
+public final class Post {
+    private static final int MOST = 4_000, MOST_BYTES = 64 << 20, BATCH_BYTES = 1 << 20;
+    private static final long CONNECT_MILLIS = 500, PATIENCE = 2_000_000;
+
+    private final Caller caller;
+    private final LongSupplier core;
+    private final LongSupplier now;
+    private final Map<String, Lane> lanes = new ConcurrentHashMap<>();
+
+    public Post(Caller caller, LongSupplier core, LongSupplier now) {
+        this.caller = caller;
+        this.core = core;
+        this.now = now;
+    }
+
+    public void send(String address, Object message) {
+        lanes.computeIfAbsent(address, Lane::new).send(Codec.writeTagged(message));
+    }
+
+    public void tick() {
+        for (var l : lanes.values()) l.tick();
+    }
+
+    private final class Lane implements Caller.Sink {
+        private final String address;
+        private final Deque<byte[]> waiting = new ArrayDeque<>();
+        private int bytes;
+        private Caller.Call call;
+        private ClientConnection kept;
+        private long since;
+
+        Lane(String address) { this.address = address; }
+
+        synchronized void send(byte[] m) {
+            waiting.add(m);
+            bytes += m.length;
+            while (waiting.size() > MOST || bytes > MOST_BYTES) bytes -= waiting.poll().length;
+            if (call == null) next();
+        }
+
+        synchronized void tick() {
+            if (call == null || now.getAsLong() - since < PATIENCE) return;
+            call.cancel();
+            call = null;
+            kept = null;
+            if (!waiting.isEmpty()) next();
+        }
+
+        private void next() {
+            var b = new Batch();
+            var n = 0;
+            while (!waiting.isEmpty() && n < BATCH_BYTES) {
+                var m = waiting.poll();
+                b.messages.add(m);
+                n += m.length;
+            }
+            bytes -= n;
+            since = now.getAsLong();
+            call = caller.keep(kept, address, Methods.POST, "/partner", Map.of(Names.WIRE, Names.WIRE_VERSION,
+                Names.CORE, Long.toHexString(core.getAsLong())), Codec.write(b), CONNECT_MILLIS, this);
+        }
+
+        private synchronized void over(boolean keep) {
+            kept = keep && call != null ? call.connection() : null;
+            call = null;
+            if (!waiting.isEmpty()) next();
+        }
+
+        @Override
+        public void refused(String cause) { over(false); }
+
+        @Override
+        public void status(int code, HeaderMap headers) { }
+
+        @Override
+        public void chunk(byte[] b) { }
+
+        @Override
+        public void end() { over(true); }
+
+        @Override
+        public void broken(String cause) { over(false); }
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/process/DiskFolder.java
@@ -0,0 +1,112 @@
+package craneway.link.process;
+
+import craneway.state.disk.DiskProblem;
+import craneway.state.disk.Folder;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+public final class DiskFolder implements Folder {
+    private static final long RESERVE = 16L << 20;
+
+    private final Path root;
+    private final Map<String, FileChannel> open = new ConcurrentHashMap<>();
+
+    public DiskFolder(Path root) { this.root = root; }
+
+    private interface Work<T> { T run() throws IOException; }
+
+    private static <T> T guard(Work<T> w) {
+        try {
+            return w.run();
+        } catch (IOException e) {
+            var text = String.valueOf(e.getMessage());
+            throw new DiskProblem(text.contains("No space left"), text);
+        }
+    }
+
+    @Override
+    public List<String> names() {
+        return guard(() -> {
+            try (var all = Files.list(root)) {
+                return all.map(p -> p.getFileName().toString()).filter(n -> !n.endsWith(".tmp")).sorted().toList();
+            }
+        });
+    }
+
+    @Override
+    public byte[] read(String name) {
+        return guard(() -> Files.exists(root.resolve(name)) ? Files.readAllBytes(root.resolve(name)) : null);
+    }
+
+    @Override
+    public void append(String name, byte[] b, int len) {
+        guard(() -> {
+            if (Files.getFileStore(root).getUsableSpace() < RESERVE + len) throw new DiskProblem(true, "the disk is full but for its reserve");
+            writeAll(channel(name), ByteBuffer.wrap(b, 0, len));
+            return null;
+        });
+    }
+
+    private FileChannel channel(String name) throws IOException {
+        var c = open.get(name);
+        if (c != null) return c;
+        c = FileChannel.open(root.resolve(name), StandardOpenOption.WRITE, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        open.put(name, c);
+        return c;
+    }
+
+    private static void writeAll(FileChannel c, ByteBuffer b) throws IOException {
+        while (b.hasRemaining()) c.write(b);
+    }
+
+    @Override
+    public void sync(String name) {
+        guard(() -> {
+            channel(name).force(false);
+            return null;
+        });
+    }
+
+    @Override
+    public void replace(String name, byte[] b) {
+        guard(() -> {
+            close(name);
+            var tmp = root.resolve(name + ".tmp");
+            try (var c = FileChannel.open(tmp, StandardOpenOption.WRITE, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING)) {
+                writeAll(c, ByteBuffer.wrap(b));
+                c.force(true);
+            }
+            Files.move(tmp, root.resolve(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            syncRoot();
+            return null;
+        });
+    }
+
+    private void syncRoot() throws IOException {
+        try (var c = FileChannel.open(root, StandardOpenOption.READ)) {
+            c.force(true);
+        }
+    }
+
+    private void close(String name) throws IOException {
+        var c = open.remove(name);
+        if (c != null) c.close();
+    }
+
+    @Override
+    public void delete(String name) {
+        guard(() -> {
+            close(name);
+            Files.deleteIfExists(root.resolve(name));
+            return null;
+        });
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/process/EventLog.java
@@ -0,0 +1,52 @@
+package craneway.link.process;
+
+import com.google.common.flogger.FluentLogger;
+import craneway.model.event.Event;
+import craneway.model.event.Log;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.time.Instant;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+public final class EventLog implements Log {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private final String node;
+
+    public EventLog(String node) {
+        this.node = node;
+        arrange();
+    }
+
+    public static void arrange() {
+        var root = Logger.getLogger("");
+        for (var h : root.getHandlers()) root.removeHandler(h);
+        var h = new ConsoleHandler();
+        h.setFormatter(new Line());
+        root.addHandler(h);
+        h.setFilter(r -> r.getLoggerName() == null || r.getLoggerName().startsWith("craneway") || r.getLevel().intValue() >= Level.SEVERE.intValue());
+    }
+
+    @Override
+    public void note(Event e, String detail) {
+        LOG.at(e == Event.INTERNAL || e == Event.DISK_LOST || e == Event.DISK_PROBLEM ? Level.WARNING : Level.INFO)
+            .log("CW%d %s %s: %s", e.code(), node, e.text(), detail);
+    }
+
+    public void internal(Throwable t) {
+        var w = new StringWriter();
+        t.printStackTrace(new PrintWriter(w));
+        note(Event.INTERNAL, w.toString());
+    }
+
+    private static final class Line extends Formatter {
+        @Override
+        public String format(LogRecord r) {
+            return Instant.ofEpochMilli(r.getMillis()) + " " + r.getLevel() + " " + formatMessage(r) + "\n";
+        }
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/process/RouterProcess.java
@@ -0,0 +1,66 @@
+package craneway.link.process;
+
+import craneway.control.operator.Operator;
+import craneway.data.router.Router;
+import craneway.link.operator.OperatorDesk;
+import craneway.link.partner.PartnerDesk;
+import craneway.link.platform.PlatformDesk;
+import craneway.link.requester.TransactionDesk;
+import craneway.link.runner.RunnerDesk;
+import craneway.model.event.Event;
+import craneway.state.message.Node;
+import io.undertow.server.HttpHandler;
+import java.util.Random;
+
+public final class RouterProcess implements AutoCloseable {
+    private static final int THREADS = 400;
+    private static final long BODY = 8L << 20, ANNOUNCE_BODY = 64 << 10, MANIFEST_BODY = 32L << 20, READINESS = 2_200_000, STREAMS = 60_000_000;
+
+    private final Host host;
+    private final Router router;
+    private final Operator operator;
+
+    public RouterProcess(Startup s, EventLog log) {
+        host = new Host(log, THREADS, () -> core());
+        var self = new Node(s.name, Node.ROUTER, s.zone, s.partner, System.currentTimeMillis());
+        router = new Router(host, self, s.seeds, new Random());
+        operator = new Operator(host, router.asker());
+        var forwarded = new TransactionDesk(router, host.caller(), host::now, log, "/transaction", true);
+        var partner = new PartnerDesk(this::core, router::receive, log);
+        HttpHandler both = x -> (x.getRequestPath().equals("/transaction") ? forwarded : partner).handleRequest(x);
+        host.listen(s.partner, both, 80L << 20);
+        host.listen(s.requester, new TransactionDesk(router, host.caller(), host::now, log, "/v1/chat/completions", false), BODY);
+        host.listen(s.runner, new RunnerDesk(router), ANNOUNCE_BODY);
+        host.listen(s.operator, new OperatorDesk(s.name, operator, () -> Metrics.of(router)), MANIFEST_BODY);
+        host.listen(s.platform, new PlatformDesk(router::ready), ANNOUNCE_BODY);
+        host.tick(() -> {
+            router.tick();
+            operator.tick(host.now());
+        });
+        log.note(Event.STARTED, "router zone " + s.zone + " requester " + s.requester + " partner " + s.partner);
+    }
+
+    private long core() { return router == null ? 0 : router.directory().self().coreId; }
+
+    public Router router() { return router; }
+
+    public boolean superseded() { return router.membership().superseded(); }
+
+    public void stopGently() throws InterruptedException {
+        host.note(Event.STOPPING, router.executor().open() + " transactions open");
+        router.unready();
+        pause(READINESS);
+        router.executor().stop();
+        var until = host.now() + STREAMS;
+        while (router.executor().open() > 0 && host.now() < until) pause(20_000);
+        router.membership().leave(host.now());
+        pause(200_000);
+        close();
+        host.note(Event.STOPPED, "router");
+    }
+
+    private static void pause(long micros) throws InterruptedException { Thread.sleep(micros / 1000); }
+
+    @Override
+    public void close() { host.close(); }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/process/StoreProcess.java
@@ -0,0 +1,56 @@
+package craneway.link.process;
+
+import craneway.control.operator.Operator;
+import craneway.control.store.Store;
+import craneway.link.operator.OperatorDesk;
+import craneway.link.partner.PartnerDesk;
+import craneway.link.platform.PlatformDesk;
+import craneway.model.event.Event;
+import craneway.state.message.Node;
+import java.security.SecureRandom;
+import java.util.Random;
+
+public final class StoreProcess implements AutoCloseable {
+    private static final int THREADS = 24;
+    private static final long MANIFEST_BODY = 32L << 20, SMALL = 64 << 10, READINESS = 2_200_000;
+
+    private final Host host;
+    private final Store store;
+    private volatile boolean stopping;
+
+    public StoreProcess(Startup s, EventLog log) {
+        host = new Host(log, THREADS, () -> core());
+        var self = new Node(s.name, Node.STORE, s.zone, s.partner, System.currentTimeMillis());
+        store = new Store(host, new DiskFolder(s.data), self, s.seeds, s.stores, new Random(new SecureRandom().nextLong()));
+        var operator = new Operator(host, store.asker());
+        host.listen(s.partner, new PartnerDesk(this::core, store::receive, log), 80L << 20);
+        host.listen(s.operator, new OperatorDesk(s.name, operator, () -> Metrics.of(store)), MANIFEST_BODY);
+        host.listen(s.platform, new PlatformDesk(this::ready), SMALL);
+        host.tick(() -> {
+            store.tick();
+            operator.tick(host.now());
+        });
+        log.note(Event.STARTED, "store zone " + s.zone + " partner " + s.partner + " data " + s.data);
+    }
+
+    private long core() { return store == null ? 0 : store.directory().self().coreId; }
+
+    private boolean ready() { return !stopping && store.keepers().length > 0 && store.membership().view().leased(0, host.now()); }
+
+    public boolean superseded() { return store.membership().superseded(); }
+
+    public void stopGently() throws InterruptedException {
+        host.note(Event.STOPPING, "store");
+        stopping = true;
+        Thread.sleep(READINESS / 1000);
+        var until = host.now() + 3_000_000;
+        while (store.handOver() && host.now() < until) Thread.sleep(100);
+        store.membership().leave(host.now());
+        Thread.sleep(200);
+        close();
+        host.note(Event.STOPPED, "store");
+    }
+
+    @Override
+    public void close() { host.close(); }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/process/Until.java
@@ -0,0 +1,35 @@
+package craneway.link.process;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+public final class Until {
+    private static final int SUPERSEDED = 3;
+
+    private Until() { }
+
+    public interface Stop { void run() throws InterruptedException; }
+
+    public static int stopped(Stop stop, BooleanSupplier superseded) throws InterruptedException {
+        var asked = new CountDownLatch(1);
+        var done = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            asked.countDown();
+            try {
+                done.await(70, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "stop"));
+        while (!asked.await(500, TimeUnit.MILLISECONDS))
+            if (superseded.getAsBoolean()) {
+                System.err.println("another process with this name and a newer incarnation has taken this one's place");
+                done.countDown();
+                return SUPERSEDED;
+            }
+        stop.run();
+        done.countDown();
+        return 0;
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/runner/RunnerDesk.java
@@ -0,0 +1,77 @@
+package craneway.link.runner;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import craneway.data.router.Router;
+import craneway.data.runner.Announcement;
+import craneway.link.http.Problems;
+import craneway.link.process.Addresses;
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import craneway.state.message.Messages.AskVerdict;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.util.function.Consumer;
+
+public final class RunnerDesk implements HttpHandler {
+    private static final JsonMapper JSON = JsonMapper.builder()
+        .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES).enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+
+    public record Leave(String service, String name, long incarnation) { }
+
+    private final Router router;
+
+    public RunnerDesk(Router router) { this.router = router; }
+
+    @Override
+    public void handleRequest(HttpServerExchange x) {
+        var announce = x.getRequestPath().equals("/v1/announce");
+        if (!announce && !x.getRequestPath().equals("/v1/leave")) {
+            Problems.send(x, Problem.of(Kind.NO_SUCH_PAGE));
+            return;
+        }
+        if (!x.getRequestMethod().equals(Methods.POST)) {
+            Problems.send(x, Problem.of(Kind.WRONG_METHOD));
+            return;
+        }
+        x.getRequestReceiver().receiveFullBytes((e, b) -> e.dispatch(() -> take(e, b, announce)));
+    }
+
+    private void take(HttpServerExchange x, byte[] b, boolean announce) {
+        try {
+            if (announce) announce(x, JSON.readValue(b, Announcement.class));
+            else leave(x, JSON.readValue(b, Leave.class));
+        } catch (JsonProcessingException e) {
+            Problems.send(x, Problem.of(e.getProcessor() == null ? Kind.BAD_FIELD : Kind.BAD_JSON, e.getOriginalMessage()));
+        } catch (IOException e) {
+            Problems.send(x, Problem.of(Kind.BAD_JSON, e.getMessage()));
+        }
+    }
+
+    private void announce(HttpServerExchange x, Announcement a) {
+        if (blank(a.service()) || blank(a.name()) || blank(a.cell()) || a.address() == null || Addresses.bad(a.address())
+            || a.slots() < 1 || a.slots() > 100_000 || a.load() < 0) {
+            Problems.send(x, Problem.of(Kind.BAD_FIELD, "an announcement needs service, name, cell, address as IP:PORT, slots from 1 and load from 0"));
+            return;
+        }
+        router.announce(a, reply(x));
+    }
+
+    private void leave(HttpServerExchange x, Leave l) {
+        if (blank(l.service) || blank(l.name)) Problems.send(x, Problem.of(Kind.BAD_FIELD, "a leave needs service, name and incarnation"));
+        else router.leave(l.service, l.name, l.incarnation, reply(x));
+    }
+
+    private static boolean blank(String s) { return s == null || s.isBlank(); }
+
+    private static Consumer<AskVerdict> reply(HttpServerExchange x) {
+        x.dispatch();
+        return v -> {
+            if (v.kind == 0) Problems.sendJson(x, "{\"acknowledged\":true}");
+            else Problems.send(x, new Problem(Kind.of(v.kind), v.detail, v.retryAfter));
+        };
+    }
+}
--- /dev/null
+++ b/lib/model/src/main/java/craneway/model/event/Event.java
@@ -0,0 +1,44 @@
+package craneway.model.event;
+
+public enum Event {
+    STARTED(1001, "process started"),
+    STOPPING(1002, "gentle stop began"),
+    STOPPED(1003, "process stopped"),
+    BAD_STARTUP(1004, "startup values are wrong"),
+    FOUNDED(1101, "core founded"),
+    WAITING_TO_FOUND(1102, "not founding yet"),
+    JOINED_CORE(1103, "an empty store joins an existing core as a learner"),
+    OWNER(1201, "this store owns a part"),
+    OWNER_LOST(1202, "this store no longer owns a part"),
+    MEMBERS_CHANGED(1203, "a part's group changed"),
+    IMAGE_TAKEN(1204, "image written and log cut"),
+    IMAGE_LOADED(1205, "image from the owner loaded"),
+    DISK_LOST(1301, "data folder damaged; it is set aside and this store starts empty"),
+    DISK_PROBLEM(1302, "disk write failed"),
+    LEASE_TAKEN(1401, "lease held at a part"),
+    LEASE_LAPSED(1402, "lease at a part lapsed"),
+    MEMBER_LAPSED(1403, "a member's lease lapsed"),
+    MANIFEST_TAKEN(1501, "manifest in force on this node"),
+    TABLE_TAKEN(1502, "table in force on this node"),
+    MOVE_STEP(1601, "units moved in one step"),
+    ZONE_EMPTIED(1602, "zone emptied"),
+    ZONE_TAKEN_BACK(1603, "zone taken back"),
+    MOVE_STOPPED(1604, "a move stopped"),
+    RUNNER_UP(1701, "runner announced"),
+    RUNNER_LEAVING(1702, "runner leaving"),
+    RUNNER_DARK(1703, "runner gone dark"),
+    BAD_MESSAGE(1801, "message between processes declined"),
+    CUT_STREAM(1901, "stream cut"),
+    INTERNAL(1999, "unexpected problem inside");
+
+    private final int code;
+    private final String text;
+
+    Event(int code, String text) {
+        this.code = code;
+        this.text = text;
+    }
+
+    public int code() { return code; }
+    public String text() { return text; }
+}
--- /dev/null
+++ b/lib/model/src/main/java/craneway/model/problem/Bearing.java
@@ -0,0 +1,3 @@
+package craneway.model.problem;
+
+public enum Bearing { DECLINED, RECORDED, UNKNOWN, BROKEN }
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/disk/Folder.java
@@ -0,0 +1,12 @@
+package craneway.state.disk;
+
+import java.util.List;
+
+public interface Folder {
+    List<String> names();
+    byte[] read(String name);
+    void append(String name, byte[] b, int len);
+    void sync(String name);
+    void replace(String name, byte[] b);
+    void delete(String name);
+}
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/message/Commands.java
@@ -0,0 +1,89 @@
+package craneway.state.message;
+
+import java.util.ArrayList;
+import java.util.List;
+
+public final class Commands {
+    private Commands() { }
+
+    public static final class MemberPut { public Node node; }
+
+    public static final class MemberLapsed { public String name; public long incarnation; }
+
+    public static final class MemberGone { public String name; public long incarnation; }
+
+    public static final class ManifestPut { public long base; public String text; }
+
+    public static final class ServiceSync {
+        public String service;
+        public long manifestVersion;
+        public List<String> regions = new ArrayList<>();
+        public List<String> cells = new ArrayList<>();
+        public List<String> zones = new ArrayList<>();
+        public List<String> cellRegions = new ArrayList<>();
+        public List<Integer> weights = new ArrayList<>();
+    }
+
+    public static final class RunnerPut {
+        public String service;
+        public String runner;
+        public String address;
+        public String cell;
+        public int slots;
+        public long incarnation;
+        public boolean cold;
+        public int load;
+    }
+
+    public static final class RunnerMark {
+        public String service;
+        public String runner;
+        public long incarnation;
+        public int state;
+    }
+
+    public static final class Claim {
+        public String service;
+        public String key;
+        public int unit;
+        public long tableVersion;
+        public String region;
+        public String holder;
+        public long incarnation;
+        public long tryNo;
+    }
+
+    public static final class Finish {
+        public String service;
+        public String key;
+        public String holder;
+        public long incarnation;
+        public long tryNo;
+        public int state;
+    }
+
+    public static final class Age { public long micros; public long retention; }
+
+    public static final class TableStep {
+        public String service;
+        public long tableVersion;
+        public int[] units;
+        public int[] cells;
+    }
+
+    public static final class PlanPut { public Plan plan; }
+
+    public static final class PlanConfirm { public long plan; }
+
+    public static final class PlanStop { public long plan; public String cause; }
+
+    public static final class QuotaTake {
+        public String service;
+        public String tenant;
+        public int unit;
+        public long tableVersion;
+        public String region;
+        public int count;
+        public int limit;
+    }
+}
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/message/Messages.java
@@ -0,0 +1,83 @@
+package craneway.state.message;
+
+import java.util.ArrayList;
+import java.util.List;
+
+public final class Messages {
+    private Messages() { }
+
+    public static final class Hello {
+        public Node from;
+        public boolean asks;
+        public long seen;
+        public Founding founding;
+        public List<Node> known = new ArrayList<>();
+    }
+
+    public static final class Renew {
+        public int part;
+        public Node from;
+        public long stamp;
+        public boolean leaving;
+        public long members;
+        public List<String> topics = new ArrayList<>();
+        public List<Long> versions = new ArrayList<>();
+    }
+
+    public static final class RenewVerdict {
+        public int part;
+        public int kind;
+        public long incarnation;
+        public long stamp;
+        public Node owner;
+        public long membersVersion;
+        public List<Node> members;
+        public List<String> topics = new ArrayList<>();
+        public List<Long> versions = new ArrayList<>();
+    }
+
+    public static final class Subscribe {
+        public Node from;
+        public String topic;
+        public long have;
+    }
+
+    public static final class News {
+        public String topic;
+        public long version;
+        public byte[] body;
+    }
+
+    public static final class Ask {
+        public long id;
+        public int part;
+        public Node from;
+        public byte[] body;
+    }
+
+    public static final class AskVerdict {
+        public long id;
+        public int kind;
+        public String detail = "";
+        public long retryAfter;
+        public long version;
+        public Node owner;
+        public byte[] body;
+    }
+
+    public static final class Join {
+        public int part;
+        public Node from;
+    }
+
+    public static final class Founding {
+        public long coreId;
+        public long[] stores = {};
+        public String[] zones = {};
+
+        public boolean has(long id) {
+            for (var s : stores) if (s == id) return true;
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/message/Node.java
@@ -0,0 +1,25 @@
+package craneway.state.message;
+
+public final class Node {
+    public static final String STORE = "store", ROUTER = "router";
+
+    public String name = "";
+    public String kind = "";
+    public String zone = "";
+    public String partner = "";
+    public long incarnation;
+    public long storeId;
+    public long coreId;
+
+    public Node() { }
+
+    public Node(String name, String kind, String zone, String partner, long incarnation) {
+        this.name = name;
+        this.kind = kind;
+        this.zone = zone;
+        this.partner = partner;
+        this.incarnation = incarnation;
+    }
+
+    public boolean isRouter() { return kind.equals(ROUTER); }
+}
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/message/Tags.java
@@ -0,0 +1,28 @@
+package craneway.state.message;
+
+import craneway.state.part.PartMessage;
+
+final class Tags {
+    private static final Class<?>[] TYPES = {
+        PartMessage.class, Messages.Hello.class, Messages.Renew.class, Messages.RenewVerdict.class,
+        Messages.Subscribe.class, Messages.News.class, Messages.Ask.class, Messages.AskVerdict.class,
+        Messages.Join.class, Messages.Founding.class,
+        Commands.MemberPut.class, Commands.MemberLapsed.class, Commands.MemberGone.class, Commands.ManifestPut.class,
+        Commands.ServiceSync.class, Commands.RunnerPut.class, Commands.RunnerMark.class, Commands.Claim.class,
+        Commands.Finish.class, Commands.Age.class, Commands.TableStep.class, Commands.PlanPut.class,
+        Commands.PlanConfirm.class, Commands.PlanStop.class, Commands.QuotaTake.class,
+        Queries.Status.class, Queries.ManifestGet.class, Queries.Spread.class, Queries.PlanGet.class,
+    };
+
+    private Tags() { }
+
+    static int of(Class<?> c) {
+        for (var i = 0; i < TYPES.length; i++) if (TYPES[i] == c) return i + 1;
+        throw new IllegalArgumentException("no tag for " + c);
+    }
+
+    static Class<?> type(int tag) {
+        if (tag < 1 || tag > TYPES.length) throw new BadMessage("unknown tag " + tag);
+        return TYPES[tag - 1];
+    }
+}
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/part/Entry.java
@@ -0,0 +1,19 @@
+package craneway.state.part;
+
+public final class Entry {
+    public static final int NOTHING = 0, COMMAND = 1, GROUP = 2;
+
+    public long index;
+    public long term;
+    public int type;
+    public byte[] body;
+
+    public Entry() { }
+
+    public Entry(long index, long term, int type, byte[] body) {
+        this.index = index;
+        this.term = term;
+        this.type = type;
+        this.body = body;
+    }
+}
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/part/Group.java
@@ -0,0 +1,517 @@
+package craneway.state.part;
+
+import craneway.model.event.Event;
+import craneway.state.disk.DiskProblem;
+import craneway.state.disk.Folder;
+import craneway.state.disk.SegmentLog;
+import craneway.state.message.Codec;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+public final class Group {
+    public static final long BEAT = 100_000, CALM = 700_000, SPREAD = 700_000;
+    private static final long LEASE = CALM * 8 / 10, AILING_PAUSE = 500_000;
+    private static final int BATCH = 256, BATCH_BYTES = 1 << 20;
+    private static final byte[] NONE = {};
+
+    private static final class Partner {
+        long next;
+        long match;
+        long acked = Long.MIN_VALUE;
+        long sent = Long.MIN_VALUE;
+        long heard;
+    }
+
+    private final int part;
+    private final long self;
+    private final Folder folder;
+    private final Machine machine;
+    private final Random random;
+    private final Outlet out;
+    private final Map<Long, Partner> partners = new HashMap<>();
+    private final Set<Long> yes = new HashSet<>();
+    private final List<PartMessage> pending = new ArrayList<>();
+
+    private SegmentLog log;
+    private Members first;
+    private Members members;
+    private long membersIndex;
+    private Role role = Role.FOLLOWER;
+    private long owner;
+    private long heardOwner;
+    private long due;
+    private long commit;
+    private long applied;
+    private long termStart;
+    private long handingOver;
+    private boolean readySaid;
+
+    public Group(int part, long self, Folder folder, Members first, Machine machine, Random random, Outlet out, long now) {
+        this.part = part;
+        this.self = self;
+        this.folder = folder;
+        this.first = first;
+        this.machine = machine;
+        this.random = random;
+        this.out = out;
+        open(now);
+    }
+
+    public int part() { return part; }
+    public Role role() { return role; }
+    public long owner() { return owner; }
+    public long term() { return log.term(); }
+    public Members members() { return members; }
+    public long applied() { return applied; }
+    public long lastIndex() { return log.last(); }
+
+    public boolean ready() { return role == Role.OWNER && applied >= termStart; }
+
+    public boolean fresh(long now) { return ready() && handingOver == 0 && now < quorumStamp() + LEASE; }
+
+    public long matchOf(long id) {
+        if (id == self) return log.last();
+        var p = partners.get(id);
+        return p == null ? 0 : p.match;
+    }
+
+    public long heardFrom(long id) {
+        var p = partners.get(id);
+        return p == null ? 0 : p.heard;
+    }
+
+    private void open(long now) {
+        log = new SegmentLog(folder, "p" + part + ".");
+        pending.clear();
+        owner = 0;
+        heardOwner = now;
+        if (log.image() != null) machine.load(log.image().body);
+        else machine.load(null);
+        applied = commit = log.first() - 1;
+        findMembers();
+        move(Role.FOLLOWER, now);
+    }
+
+    private void findMembers() {
+        members = log.image() == null ? first : log.image().members;
+        membersIndex = log.first() - 1;
+        for (var i = log.last(); i >= log.first(); i--) {
+            if (log.at(i).type != Entry.GROUP) continue;
+            members = Codec.read(Members.class, log.at(i).body);
+            membersIndex = i;
+            return;
+        }
+    }
+
+    private void move(Role to, long now) {
+        var from = role;
+        role = to;
+        yes.clear();
+        handingOver = 0;
+        due = now + CALM + (long) (random.nextDouble() * SPREAD);
+        if (to == Role.AILING) due = now + AILING_PAUSE;
+        if (from == Role.OWNER && readySaid) {
+            readySaid = false;
+            out.owning(false, log.term());
+        }
+        if (to == Role.OWNER) becomeOwner(now);
+    }
+
+    public void tick(long now) {
+        if (role == Role.AILING) {
+            if (now >= due) reopen(now);
+            return;
+        }
+        if (role == Role.OWNER) ownerTick(now);
+        else if (now >= due && members.votes(self)) sound(now);
+    }
+
+    private void reopen(long now) {
+        try {
+            open(now);
+        } catch (DiskProblem e) {
+            fail(e, now);
+        }
+    }
+
+    private void ownerTick(long now) {
+        if (now > quorumStamp() + CALM) {
+            owner = 0;
+            move(Role.FOLLOWER, now);
+            return;
+        }
+        if (handingOver != 0 && now > handingOver + CALM) {
+            owner = 0;
+            move(Role.FOLLOWER, now);
+            return;
+        }
+        for (var id : everyone()) {
+            var p = partners.computeIfAbsent(id, k -> partnerAt(log.last() + 1, now));
+            if (now >= p.sent + BEAT) feed(id, now);
+        }
+    }
+
+    private static Partner partnerAt(long next, long now) {
+        var p = new Partner();
+        p.next = next;
+        p.heard = now;
+        return p;
+    }
+
+    private List<Long> everyone() {
+        var all = new ArrayList<Long>();
+        for (var v : members.voters) if (v != self) all.add(v);
+        if (members.learner != 0 && members.learner != self) all.add(members.learner);
+        return all;
+    }
+
+    private long quorumStamp() {
+        var stamps = new long[members.voters.length];
+        for (var i = 0; i < stamps.length; i++) {
+            var v = members.voters[i];
+            var p = partners.get(v);
+            stamps[i] = v == self ? Long.MAX_VALUE : p == null ? Long.MIN_VALUE / 2 : Math.max(p.acked, Long.MIN_VALUE / 2);
+        }
+        Arrays.sort(stamps);
+        var q = stamps[stamps.length - members.majority()];
+        return q == Long.MAX_VALUE ? Long.MAX_VALUE / 2 : q;
+    }
+
+    private void sound(long now) {
+        move(Role.SOUNDING, now);
+        yes.add(self);
+        for (var v : members.voters) if (v != self) pending.add(ask(PartMessage.SOUND, v, log.term() + 1));
+        if (yes.size() >= members.majority()) stand(now, false);
+    }
+
+    private void stand(long now, boolean handed) {
+        move(Role.CANDIDATE, now);
+        owner = 0;
+        log.hard(log.term() + 1, self);
+        yes.add(self);
+        for (var v : members.voters) {
+            if (v == self) continue;
+            var m = ask(PartMessage.VOTE, v, log.term());
+            m.yes = handed;
+            pending.add(m);
+        }
+        if (yes.size() >= members.majority()) move(Role.OWNER, now);
+    }
+
+    private PartMessage ask(int kind, long to, long term) {
+        var m = message(kind, to, term);
+        m.index = log.last();
+        m.logTerm = log.termAt(log.last());
+        return m;
+    }
+
+    private PartMessage message(int kind, long to, long term) {
+        var m = new PartMessage();
+        m.part = part;
+        m.kind = kind;
+        m.from = self;
+        m.to = to;
+        m.term = term;
+        return m;
+    }
+
+    private void becomeOwner(long now) {
+        owner = self;
+        partners.clear();
+        for (var id : everyone()) {
+            var p = partnerAt(log.last() + 1, now);
+            p.acked = now - CALM / 2;
+            partners.put(id, p);
+        }
+        termStart = log.last() + 1;
+        append(Entry.NOTHING, NONE);
+        everyone().forEach(id -> feed(id, now));
+    }
+
+    private long append(int type, byte[] body) {
+        var e = new Entry(log.last() + 1, log.term(), type, body);
+        log.append(e);
+        if (type == Entry.GROUP) {
+            members = Codec.read(Members.class, body);
+            membersIndex = e.index;
+        }
+        return e.index;
+    }
+
+    public long propose(byte[] command, long now) {
+        if (!ready() || handingOver != 0) return -1;
+        try {
+            return append(Entry.COMMAND, command);
+        } catch (DiskProblem e) {
+            fail(e, now);
+            return -1;
+        }
+    }
+
+    public boolean regroup(Members next, long now) {
+        if (!ready() || commit < membersIndex) return false;
+        try {
+            append(Entry.GROUP, Codec.write(next));
+            out.note(Event.MEMBERS_CHANGED, "part " + part + " voters " + Arrays.toString(next.zones) + " learner " + next.learnerZone);
+            return true;
+        } catch (DiskProblem e) {
+            fail(e, now);
+            return false;
+        }
+    }
+
+    public boolean handOver(long to, long now) {
+        if (!ready() || handingOver != 0 || !members.votes(to) || to == self || matchOf(to) < log.last()) return false;
+        handingOver = now;
+        pending.add(message(PartMessage.TAKE_OVER, to, log.term()));
+        return true;
+    }
+
+    private void feed(long id, long now) {
+        var p = partners.get(id);
+        p.sent = now;
+        if (p.next < log.first()) {
+            var m = message(PartMessage.IMAGE, id, log.term());
+            m.image = log.image();
+            m.stamp = now;
+            pending.add(m);
+            return;
+        }
+        var m = message(PartMessage.APPEND, id, log.term());
+        m.index = p.next - 1;
+        m.logTerm = log.termAt(p.next - 1);
+        m.commit = commit;
+        m.stamp = now;
+        var bytes = 0;
+        for (var i = p.next; i <= log.last() && m.entries.size() < BATCH && bytes < BATCH_BYTES; i++) {
+            m.entries.add(log.at(i));
+            bytes += log.at(i).body.length;
+        }
+        p.next += m.entries.size();
+        pending.add(m);
+    }
+
+    public void receive(PartMessage m, long now) {
+        if (role == Role.AILING) return;
+        try {
+            step(m, now);
+        } catch (DiskProblem e) {
+            fail(e, now);
+        }
+    }
+
+    private void step(PartMessage m, long now) {
+        if (m.kind == PartMessage.SOUND) {
+            sounded(m, now);
+            return;
+        }
+        if (m.kind == PartMessage.VOTE && !m.yes && calm(now)) return;
+        if (m.term > log.term() && m.kind != PartMessage.SOUND_REPLY) {
+            log.hard(m.term, 0);
+            owner = 0;
+            move(Role.FOLLOWER, now);
+        }
+        switch (m.kind) {
+            case PartMessage.SOUND_REPLY -> soundReply(m, now);
+            case PartMessage.VOTE -> voteAsked(m, now);
+            case PartMessage.VOTE_REPLY -> voteReply(m, now);
+            case PartMessage.APPEND -> appendAsked(m, now);
+            case PartMessage.APPEND_REPLY -> appendReply(m, now);
+            case PartMessage.IMAGE -> imageSent(m, now);
+            case PartMessage.TAKE_OVER -> { if (m.term == log.term() && members.votes(self)) stand(now, true); }
+            default -> out.note(Event.BAD_MESSAGE, "part message of kind " + m.kind);
+        }
+    }
+
+    private boolean calm(long now) {
+        return role == Role.OWNER ? now < quorumStamp() + CALM : now < heardOwner + CALM;
+    }
+
+    private boolean upToDate(PartMessage m) {
+        var t = log.termAt(log.last());
+        return m.logTerm > t || m.logTerm == t && m.index >= log.last();
+    }
+
+    private void sounded(PartMessage m, long now) {
+        var r = message(PartMessage.SOUND_REPLY, m.from, m.term);
+        r.yes = m.term > log.term() && upToDate(m) && !calm(now);
+        r.index = log.term();
+        pending.add(r);
+    }
+
+    private void soundReply(PartMessage m, long now) {
+        if (m.index > log.term()) {
+            log.hard(m.index, 0);
+            move(Role.FOLLOWER, now);
+            return;
+        }
+        if (role != Role.SOUNDING || !m.yes || m.term != log.term() + 1 || !members.votes(m.from)) return;
+        yes.add(m.from);
+        if (yes.size() >= members.majority()) stand(now, false);
+    }
+
+    private void voteAsked(PartMessage m, long now) {
+        var r = message(PartMessage.VOTE_REPLY, m.from, log.term());
+        r.yes = m.term == log.term() && (log.vote() == 0 || log.vote() == m.from) && role == Role.FOLLOWER && upToDate(m);
+        if (r.yes) {
+            if (log.vote() == 0) log.hard(log.term(), m.from);
+            due = now + CALM + (long) (random.nextDouble() * SPREAD);
+        }
+        pending.add(r);
+    }
+
+    private void voteReply(PartMessage m, long now) {
+        if (role != Role.CANDIDATE || m.term != log.term() || !m.yes || !members.votes(m.from)) return;
+        yes.add(m.from);
+        if (yes.size() >= members.majority()) move(Role.OWNER, now);
+    }
+
+    private void follow(PartMessage m, long now) {
+        owner = m.from;
+        heardOwner = now;
+        if (role != Role.FOLLOWER) move(Role.FOLLOWER, now);
+        due = now + CALM + (long) (random.nextDouble() * SPREAD);
+    }
+
+    private void appendAsked(PartMessage m, long now) {
+        var r = message(PartMessage.APPEND_REPLY, m.from, log.term());
+        r.stamp = m.stamp;
+        if (m.term < log.term()) {
+            pending.add(r);
+            return;
+        }
+        follow(m, now);
+        var known = m.index <= applied || log.termAt(m.index) == m.logTerm && m.index <= log.last();
+        r.yes = known;
+        r.index = known ? Math.max(m.index, store(m)) : Math.min(log.last(), m.index - 1);
+        pending.add(r);
+        if (known) commitTo(Math.min(m.commit, r.index));
+    }
+
+    private long store(PartMessage m) {
+        var last = m.index;
+        for (var e : m.entries) {
+            last = e.index;
+            if (e.index <= applied || log.termAt(e.index) == e.term) continue;
+            if (e.index <= log.last()) {
+                log.cutFrom(e.index);
+                findMembers();
+            }
+            log.append(e);
+            if (e.type == Entry.GROUP) {
+                members = Codec.read(Members.class, e.body);
+                membersIndex = e.index;
+            }
+        }
+        return last;
+    }
+
+    private void appendReply(PartMessage m, long now) {
+        if (role != Role.OWNER || m.term != log.term()) return;
+        var p = partners.get(m.from);
+        if (p == null) return;
+        p.heard = now;
+        p.acked = Math.max(p.acked, m.stamp);
+        if (m.yes) {
+            p.match = Math.max(p.match, m.index);
+            p.next = Math.max(p.next, p.match + 1);
+        } else {
+            p.next = Math.max(p.match + 1, Math.min(p.next - 1, m.index + 1));
+        }
+        advance();
+        if (p.next <= log.last()) feed(m.from, now);
+    }
+
+    private void imageSent(PartMessage m, long now) {
+        if (m.term < log.term()) return;
+        follow(m, now);
+        if (m.image.index > applied) {
+            log.take(m.image);
+            machine.load(m.image.body);
+            applied = commit = m.image.index;
+            findMembers();
+            out.note(Event.IMAGE_LOADED, "part " + part + " index " + applied);
+        }
+        var r = message(PartMessage.APPEND_REPLY, m.from, log.term());
+        r.yes = true;
+        r.index = m.image.index;
+        r.stamp = m.stamp;
+        pending.add(r);
+    }
+
+    private void advance() {
+        var match = new long[members.voters.length];
+        for (var i = 0; i < match.length; i++)
+            match[i] = members.voters[i] == self ? (log.dirty() ? 0 : log.last()) : matchOf(members.voters[i]);
+        Arrays.sort(match);
+        var m = match[match.length - members.majority()];
+        if (m > commit && log.termAt(m) == log.term()) commitTo(m);
+    }
+
+    private void commitTo(long to) {
+        commit = Math.max(commit, Math.min(to, log.last()));
+        while (applied < commit) {
+            var e = log.at(applied + 1);
+            applied++;
+            var result = e.type == Entry.COMMAND ? machine.apply(e.index, e.body) : null;
+            out.applied(e.index, e.term, result);
+        }
+        if (ready() && !readySaid) {
+            readySaid = true;
+            out.owning(true, log.term());
+        }
+        if (role == Role.OWNER && commit >= membersIndex && !members.votes(self)) {
+            owner = 0;
+            move(Role.FOLLOWER, heardOwner);
+        }
+    }
+
+    public void settle(long now) {
+        if (role == Role.AILING) return;
+        try {
+            flush(now);
+        } catch (DiskProblem e) {
+            fail(e, now);
+        }
+    }
+
+    private void flush(long now) {
+        if (role == Role.OWNER)
+            for (var id : everyone()) if (partners.containsKey(id) && partners.get(id).next <= log.last()) feed(id, now);
+        log.sync();
+        if (role == Role.OWNER) advance();
+        var all = List.copyOf(pending);
+        pending.clear();
+        all.forEach(out::send);
+        if (log.ripe() && applied > log.first()) image();
+    }
+
+    private void image() {
+        var i = new Image();
+        i.index = applied;
+        i.term = log.termAt(applied);
+        i.members = membersAt(applied);
+        i.body = machine.image();
+        log.take(i);
+        out.note(Event.IMAGE_TAKEN, "part " + part + " index " + applied);
+    }
+
+    private Members membersAt(long index) {
+        for (var i = index; i >= log.first(); i--)
+            if (log.at(i).type == Entry.GROUP) return Codec.read(Members.class, log.at(i).body);
+        return log.image() == null ? first : log.image().members;
+    }
+
+    private void fail(DiskProblem e, long now) {
+        pending.clear();
+        out.note(Event.DISK_PROBLEM, "part " + part + ": " + e.getMessage());
+        owner = 0;
+        move(Role.AILING, now);
+    }
+}
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/part/PartMessage.java
@@ -0,0 +1,22 @@
+package craneway.state.part;
+
+import java.util.ArrayList;
+import java.util.List;
+
+public final class PartMessage {
+    public static final int SOUND = 1, SOUND_REPLY = 2, VOTE = 3, VOTE_REPLY = 4, APPEND = 5, APPEND_REPLY = 6,
+        IMAGE = 7, TAKE_OVER = 8;
+
+    public int part;
+    public int kind;
+    public long from;
+    public long to;
+    public long term;
+    public long index;
+    public long logTerm;
+    public long commit;
+    public long stamp;
+    public boolean yes;
+    public List<Entry> entries = new ArrayList<>();
+    public Image image;
+}
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/part/Role.java
@@ -0,0 +1,3 @@
+package craneway.state.part;
+
+public enum Role { FOLLOWER, SOUNDING, CANDIDATE, OWNER, AILING }
--- /dev/null
+++ b/lib/state/src/main/java/craneway/state/record/Rows.java
@@ -0,0 +1,81 @@
+package craneway.state.record;
+
+import craneway.state.message.Node;
+import craneway.state.message.Plan;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+public final class Rows {
+    private Rows() { }
+
+    public static final class Member { public Node node; public boolean lapsed; }
+
+    public static final class Runner {
+        public static final int UP = 0, LEAVING = 1, DARK = 2;
+        public String name;
+        public String address;
+        public String cell;
+        public int slots;
+        public long incarnation;
+        public boolean cold;
+        public int state;
+
+        public boolean up() { return state == UP; }
+
+        public String stateName() { return state == UP ? "up" : state == LEAVING ? "leaving" : "dark"; }
+    }
+
+    public static final class Service {
+        public String name;
+        public long manifestVersion;
+        public long tableVersion;
+        public long newsVersion;
+        public List<String> regions = new ArrayList<>();
+        public List<String> cells = new ArrayList<>();
+        public List<String> zones = new ArrayList<>();
+        public List<String> cellRegions = new ArrayList<>();
+        public List<Integer> weights = new ArrayList<>();
+        public int[] homes = {};
+        public TreeMap<String, Runner> runners = new TreeMap<>();
+
+        public boolean live(int cell) { return weights.get(cell) > 0; }
+
+        public long runnersUp(int cell) {
+            return runners.values().stream().filter(r -> r.up() && r.cell.equals(cells.get(cell))).count();
+        }
+    }
+
+    public static final class Claim {
+        public static final int OPEN = 0, DONE = 1, UNKNOWN = 2, FREED = 3;
+        public String holder;
+        public long incarnation;
+        public long tryNo;
+        public int unit;
+        public int state;
+        public long age;
+    }
+
+    public static final class Quota { public long minute; public int used; }
+
+    public static final class Manifest {
+        public long version;
+        public long topicVersion;
+        public long marksVersion;
+        public String text = "";
+        public TreeMap<String, String> marks = new TreeMap<>();
+    }
+
+    public static final class Whole {
+        public long age;
+        public long index;
+        public long membersVersion;
+        public long planCount;
+        public TreeMap<String, Member> members = new TreeMap<>();
+        public Manifest manifest = new Manifest();
+        public TreeMap<String, Service> services = new TreeMap<>();
+        public TreeMap<String, Claim> claims = new TreeMap<>();
+        public TreeMap<String, Quota> quotas = new TreeMap<>();
+        public TreeMap<Long, Plan> plans = new TreeMap<>();
+    }
+}
--- /dev/null
+++ b/prog/craneway/src/main/java/craneway/command/Web.java
@@ -0,0 +1,53 @@
+package craneway.command;
+
+import craneway.link.http.Caller;
+import craneway.link.http.Reply;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+public final class Web implements AutoCloseable {
+    private static final long PATIENCE_MILLIS = 10_000;
+
+    private final XnioWorker worker;
+    private final Caller caller;
+
+    public Web() {
+        try {
+            worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 4, Options.TCP_NODELAY, true));
+        } catch (IOException e) {
+            throw new Told(1, e.getMessage());
+        }
+        caller = new Caller(worker);
+    }
+
+    public Caller caller() { return caller; }
+
+    public Reply call(List<String> at, HttpString method, String path, Map<HttpString, String> headers, String body) {
+        IOException last = null;
+        for (var a : at) {
+            try {
+                return checked(Reply.of(caller, a, method, path, headers, body.getBytes(StandardCharsets.UTF_8), PATIENCE_MILLIS));
+            } catch (IOException e) {
+                last = e;
+                if (!method.equals(Methods.GET)) break;
+            }
+        }
+        throw new Told(1, "no reply: " + (last == null ? "no address" : last.getMessage()));
+    }
+
+    private static Reply checked(Reply r) {
+        if (r.status() < 400) return r;
+        throw new Told(r.status() == 503 ? 4 : 3, "declined (" + r.status() + "): " + r.text().trim());
+    }
+
+    @Override
+    public void close() { worker.shutdownNow(); }
+}
--- /dev/null
+++ b/prog/craneway/src/main/java/craneway/command/operator/At.java
@@ -0,0 +1,16 @@
+package craneway.command.operator;
+
+import craneway.command.Told;
+import craneway.link.process.Addresses;
+import java.util.List;
+import picocli.CommandLine.Option;
+
+public final class At {
+    @Option(names = "--at", required = true, split = ",", description = "operator addresses, IP:PORT with commas; the first that replies serves")
+    private List<String> addresses;
+
+    List<String> all() {
+        for (var a : addresses) if (Addresses.bad(a)) throw new Told(2, "--at " + a + " is not IP:PORT");
+        return addresses;
+    }
+}
--- /dev/null
+++ b/test/standin/src/main/java/craneway/standin/CheckCommand.java
@@ -0,0 +1,28 @@
+package craneway.standin;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "check", description = "Compares the requesters' and the runners' journals. Exit code 1 when a promise broke.")
+public final class CheckCommand implements Callable<Integer> {
+    @Option(names = "--requesters", required = true, split = ",") List<Path> requesters;
+    @Option(names = "--runners", required = true, description = "folder of the runners' journals") Path runners;
+
+    @Override
+    public Integer call() throws Exception {
+        var c = new Checker();
+        try (var all = Files.list(runners)) {
+            for (var p : all.filter(f -> f.getFileName().toString().startsWith("runner-")).sorted().toList()) c.runner(p);
+        }
+        for (var p : requesters) c.requester(p);
+        var wrong = c.verdict();
+        System.out.println(c.counts());
+        wrong.forEach(System.out::println);
+        System.out.println(wrong.isEmpty() ? "every promise checked here was kept" : wrong.size() + " promises broken");
+        return wrong.isEmpty() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/test/standin/src/main/java/craneway/standin/StandinMain.java
@@ -0,0 +1,14 @@
+package craneway.standin;
+
+import craneway.link.process.EventLog;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+@Command(name = "standin", mixinStandardHelpOptions = true, description = "Stand-ins and the checker, for trials only.",
+    subcommands = {RunnerCommand.class, CheckCommand.class})
+public final class StandinMain {
+    public static void main(String[] args) {
+        EventLog.arrange();
+        System.exit(new CommandLine(new StandinMain()).execute(args));
+    }
+}
