Simulator: the production classes under a virtual clock, network and disks

Cause: the promises need faults that can be replayed. World runs Store, Router and Passage unchanged; Checks reads only what the simulated outside saw.

--- a/lib/data/src/main/java/craneway/data/requester/Course.java
+++ b/lib/data/src/main/java/craneway/data/requester/Course.java
@@ -20,6 +20,7 @@
     long notBefore;
     Rows.Runner runner;
     String router;
+    volatile long heardAt;
 
     Course(Transaction t, Line line) {
         this.t = t;
--- a/lib/data/src/main/java/craneway/data/requester/Executor.java
+++ b/lib/data/src/main/java/craneway/data/requester/Executor.java
@@ -23,7 +23,7 @@
 
 public final class Executor {
     public static final long DRAIN = 1_500_000;
-    private static final long PATIENCE = 5_000_000, CLAIM_PATIENCE = 3_000_000, FINISH_PATIENCE = 60_000_000, RECHECK = 100_000;
+    private static final long PATIENCE = 5_000_000, CLAIM_PATIENCE = 3_000_000, FINISH_PATIENCE = 60_000_000, RECHECK = 100_000, SILENT = 3_000_000;
 
     private final Port port;
     private final Directory directory;
@@ -86,6 +86,7 @@
         if (!c.move(State.RUNNING)) return;
         if (!c.t.forwarded() && c.tryNo == 0) tries.earn();
         c.tryNo++;
+        c.heardAt = port.now();
         c.runner = s.runner();
         loads.started(c.runner.name);
         counts.dispatched.incrementAndGet();
@@ -100,6 +101,7 @@
         }
         if (!c.move(State.FORWARDED)) return;
         c.tryNo++;
+        c.heardAt = port.now();
         c.router = f.router().name;
         counts.forwardedOut.incrementAndGet();
         c.line.forward(c.tryNo, f.router());
@@ -350,13 +352,33 @@
         wake(c.t.service());
     }
 
+    public void progress(long id) {
+        var c = courses.get(id);
+        if (c != null) c.heardAt = port.now();
+    }
+
+    private void watch(Course c, Membership.View v, long now) {
+        if (now >= c.t.deadline()) late(c);
+        else if (now - c.heardAt > SILENT && lost(c, v)) broken(c.t.id(), c.tryNo);
+    }
+
+    private boolean lost(Course c, Membership.View v) {
+        synchronized (c) {
+            if (c.state != State.RUNNING && c.state != State.STREAMING && c.state != State.FORWARDED) return false;
+            if (c.runner == null) return c.router != null && v.leased(Parts.of(c.t.service()), port.now()) && v.members().get(Parts.of(c.t.service())).stream().noneMatch(n -> n.name.equals(c.router));
+            var s = v.services().get(c.t.service());
+            var r = s == null ? null : s.runners.get(c.runner.name);
+            return r == null || r.incarnation != c.runner.incarnation || r.state == Rows.Runner.DARK;
+        }
+    }
+
     public void tick(long now) {
         var v = membership.view();
         for (var k : v.topic().marks.keySet()) closedSince.putIfAbsent(k, now);
         closedSince.keySet().removeIf(k -> !v.topic().marks.containsKey(k));
         for (var s : v.services().values()) for (var r : s.runners.values()) loads.meet(r, now);
         for (var s : buffers.keySet()) wake(s);
-        for (var c : List.copyOf(courses.values())) if (now >= c.t.deadline()) late(c);
+        for (var c : List.copyOf(courses.values())) watch(c, v, now);
     }
 
     private void late(Course c) {
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/requester/Passage.java
@@ -0,0 +1,165 @@
+package craneway.data.requester;
+
+import craneway.data.runner.Loads;
+import craneway.model.problem.Bearing;
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import craneway.state.message.Node;
+import craneway.state.record.Rows;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+public final class Passage implements Line {
+    private final Transaction t;
+    private final Executor executor;
+    private final Loads loads;
+    private final LongSupplier now;
+    private final String router;
+    private final Wire wire;
+    private Wire.Call call;
+    private Rows.Runner runner;
+    private StreamScan scan;
+    private int tryNo;
+    private int status;
+    private boolean streaming;
+    private boolean over;
+
+    public Passage(Transaction t, Executor executor, Loads loads, LongSupplier now, String router, Wire wire) {
+        this.t = t;
+        this.executor = executor;
+        this.loads = loads;
+        this.now = now;
+        this.router = router;
+        this.wire = wire;
+    }
+
+    public void begin() { executor.take(t, this); }
+
+    public boolean over() { return over; }
+
+    @Override
+    public void serve(int no, Rows.Runner r) { wire.later(() -> serveNow(no, r)); }
+
+    @Override
+    public void forward(int no, Node r) { wire.later(() -> forwardNow(no, r)); }
+
+    @Override
+    public void verdict(Problem p) { wire.later(() -> finish(p, false)); }
+
+    @Override
+    public void cut(Problem p) { wire.later(() -> finish(p, true)); }
+
+    private void serveNow(int no, Rows.Runner r) {
+        var h = headers();
+        h.put(Wire.TRANSACTION, router + "/" + t.id());
+        open(no, r, r.address, Wire.TO_RUNNER, h);
+    }
+
+    private void forwardNow(int no, Node r) {
+        var h = headers();
+        h.put(Wire.HOP, "1");
+        if (!t.regions().isEmpty()) h.put(Wire.REGIONS, String.join(",", t.regions()));
+        open(no, null, r.partner, Wire.TO_ROUTER, h);
+    }
+
+    private Map<String, String> headers() {
+        var h = new HashMap<String, String>();
+        h.put(Wire.TENANT, t.tenant());
+        h.put(Wire.WORK, t.work());
+        if (!t.key().isEmpty()) h.put(Wire.KEY, t.key());
+        h.put(Wire.DEADLINE, Long.toString(Math.max(1, (t.deadline() - now.getAsLong()) / 1000)));
+        return h;
+    }
+
+    private void open(int no, Rows.Runner r, String address, String path, Map<String, String> h) {
+        if (over || !executor.clear(t.id(), no)) return;
+        if (call != null) call.cancel();
+        tryNo = no;
+        runner = r;
+        status = 0;
+        scan = new StreamScan();
+        call = wire.open(address, path, h, t.body(), new Wire.Sink() {
+            private void post(Runnable step) { wire.later(() -> { if (!over && tryNo == no) step.run(); }); }
+
+            @Override
+            public void refused() { post(() -> executor.notRun(t.id(), no, Problem.of(Kind.NO_PATH))); }
+
+            @Override
+            public void status(int code, Map<String, String> headers) { post(() -> statusCame(code, headers)); }
+
+            @Override
+            public void chunk(byte[] b) { post(() -> chunkCame(b)); }
+
+            @Override
+            public void end() { post(Passage.this::endCame); }
+
+            @Override
+            public void broken() { post(() -> executor.broken(t.id(), no)); }
+        });
+    }
+
+    private void statusCame(int code, Map<String, String> h) {
+        status = code;
+        if (runner != null && isNumber(h.get(Wire.LOAD))) loads.reported(runner.name, Integer.parseInt(h.get(Wire.LOAD)), now.getAsLong());
+        if (code == 200) return;
+        call.cancel();
+        if (runner != null) runnerSaid(code);
+        else partnerSaid(h);
+    }
+
+    private static boolean isNumber(String s) { return s != null && s.matches("\\d{1,9}"); }
+
+    private void runnerSaid(int code) {
+        if (code == 503 || code == 429) executor.notRun(t.id(), tryNo, Problem.of(Kind.BUSY));
+        else if (code >= 400 && code < 500) executor.refusedWork(t.id(), tryNo, Problem.of(Kind.BAD_FIELD, "the runner declined the body with status " + code));
+        else executor.broken(t.id(), tryNo);
+    }
+
+    private void partnerSaid(Map<String, String> h) {
+        var k = isNumber(h.get(Wire.PROBLEM)) ? Kind.find(Integer.parseInt(h.get(Wire.PROBLEM))) : null;
+        if (k == null) {
+            executor.broken(t.id(), tryNo);
+            return;
+        }
+        var p = new Problem(k, k.text(), isNumber(h.get(Wire.RETRY_MICROS)) ? Long.parseLong(h.get(Wire.RETRY_MICROS)) : 0);
+        if (k.bearing() == Bearing.DECLINED) executor.notRun(t.id(), tryNo, p);
+        else if (k.bearing() == Bearing.BROKEN && t.key().isEmpty()) executor.broken(t.id(), tryNo);
+        else executor.refusedWork(t.id(), tryNo, p);
+    }
+
+    private void chunkCame(byte[] b) {
+        if (status != 200 || !startOnce()) return;
+        scan.accept(b, b.length);
+        executor.progress(t.id());
+        if (wire.write(b)) call.took();
+        else executor.gone(t.id());
+    }
+
+    private boolean startOnce() {
+        if (streaming) return true;
+        if (!executor.opened(t.id(), tryNo)) return false;
+        streaming = true;
+        wire.start();
+        return true;
+    }
+
+    private void endCame() {
+        if (status != 0 && status != 200) return;
+        if (!streaming || !scan.whole()) {
+            executor.broken(t.id(), tryNo);
+            return;
+        }
+        executor.whole(t.id(), tryNo);
+        over = true;
+        wire.whole();
+    }
+
+    private void finish(Problem p, boolean cut) {
+        if (over) return;
+        over = true;
+        if (call != null) call.cancel();
+        if (streaming || cut) wire.cut(p, streaming);
+        else wire.verdict(p);
+    }
+}
--- a/lib/link/src/main/java/craneway/link/requester/TransactionDesk.java
+++ b/lib/link/src/main/java/craneway/link/requester/TransactionDesk.java
@@ -1,5 +1,7 @@
 package craneway.link.requester;
 
+import craneway.data.requester.Passage;
+import craneway.data.requester.Transaction;
 import craneway.data.router.Router;
 import craneway.link.http.Caller;
 import craneway.link.http.Problems;
@@ -9,13 +11,16 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.Methods;
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import org.xnio.IoUtils;
 
 public final class TransactionDesk implements HttpHandler {
     private static final AtomicLong IDS = new AtomicLong();
+    private static final AttachmentKey<AtomicLong> CURRENT = AttachmentKey.create(AtomicLong.class);
     private static final long DEADLINE = 60_000_000;
 
     private final Router router;
@@ -56,15 +61,42 @@
                 Problems.send(x, t.getLeft());
                 return;
             }
-            new HttpLine(x, t.get(), router.executor(), router.loads(), caller, now, router.directory().self().name).run();
+            run(x, t.get());
         } catch (IOException e) {
             x.endExchange();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            IoUtils.safeClose(x.getConnection());
         } catch (RuntimeException e) {
             log.internal(e);
-            x.endExchange();
+            IoUtils.safeClose(x.getConnection());
         }
     }
 
+    private void run(HttpServerExchange x, Transaction t) throws InterruptedException {
+        var name = router.directory().self().name;
+        var line = new HttpLine(x, caller, name);
+        var p = new Passage(t, router.executor(), router.loads(), now, name, line);
+        current(x).set(t.id());
+        p.begin();
+        try {
+            line.run(p::over);
+        } finally {
+            current(x).set(0);
+            if (!p.over()) router.executor().gone(t.id());
+        }
+    }
+
+    private AtomicLong current(HttpServerExchange x) {
+        var c = x.getConnection();
+        var a = c.getAttachment(CURRENT);
+        if (a != null) return a;
+        var made = new AtomicLong();
+        c.putAttachment(CURRENT, made);
+        c.addCloseListener(y -> router.executor().gone(made.get()));
+        return made;
+    }
+
     private byte[] body(HttpServerExchange x) throws IOException {
         try {
             return x.getInputStream().readAllBytes();
--- a/lib/model/src/main/java/craneway/model/problem/Kind.java
+++ b/lib/model/src/main/java/craneway/model/problem/Kind.java
@@ -65,8 +65,14 @@
         return status == 503 || status == 429 || status == 507 || this == NOT_HOME;
     }
 
-    public static Kind of(int code) {
+    public static Kind find(int code) {
         for (var k : values()) if (k.code == code) return k;
-        throw new IllegalArgumentException("problem code " + code);
+        return null;
+    }
+
+    public static Kind of(int code) {
+        var k = find(code);
+        if (k == null) throw new IllegalArgumentException("problem code " + code);
+        return k;
     }
 }
--- /dev/null
+++ b/test/sim/src/main/java/craneway/sim/Journal.java
@@ -0,0 +1,55 @@
+package craneway.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+
+public final class Journal {
+    public static final class Run {
+        public long at;
+        public String runner;
+        public long incarnation;
+        public String zone;
+        public String sub;
+        public String key;
+        public String tenant;
+        public int tokens;
+        public long endedAt = -1;
+        public boolean whole;
+        public boolean cold;
+        public int running;
+        public int slots;
+    }
+
+    public static final class Told {
+        public long at;
+        public long askedAt;
+        public String sub;
+        public String key;
+        public String tenant;
+        public String zone;
+        public String verdict;
+        public int code;
+        public long retryAfter;
+        public int tokens;
+        public int deadlineMillis;
+    }
+
+    public record Leave(String runner, long incarnation, long acknowledged) { }
+
+    public record Emptied(String zone, long confirmed, long[] takenBack) { }
+
+    public record Sent(String text, long base, long at, long verdictAt, boolean taken, long version, List<String> missing) { }
+
+    public record Seen(long at, String node, int life, long version, String text) { }
+
+    public record Down(String node, long from, long[] until) { }
+
+    public final List<Run> runs = new ArrayList<>();
+    public final List<Told> told = new ArrayList<>();
+    public final List<Leave> leaves = new ArrayList<>();
+    public final List<Emptied> emptied = new ArrayList<>();
+    public final List<Sent> sent = new ArrayList<>();
+    public final List<Seen> seen = new ArrayList<>();
+    public final List<Down> troubles = new ArrayList<>();
+    public int submissions;
+}
--- /dev/null
+++ b/test/sim/src/main/java/craneway/sim/NodePort.java
@@ -0,0 +1,30 @@
+package craneway.sim;
+
+import craneway.control.node.Port;
+import craneway.model.event.Event;
+import craneway.state.message.Codec;
+
+final class NodePort implements Port {
+    interface Receiver { void receive(byte[] message); }
+
+    private final Machine of;
+    private final int life;
+
+    NodePort(Machine of) {
+        this.of = of;
+        this.life = of.life();
+    }
+
+    @Override
+    public long now() { return of.now(); }
+
+    @Override
+    public void send(String address, Object message) {
+        if (of.life() != life) return;
+        var b = Codec.writeTagged(message);
+        of.world.net.send(of, address, () -> { if (of.world.net.at(address) instanceof Receiver r) r.receive(b); });
+    }
+
+    @Override
+    public void note(Event e, String detail) { of.world.timeline.note(of.now(), of.name, "CW" + e.code() + " " + detail); }
+}
--- /dev/null
+++ b/test/sim/src/main/java/craneway/sim/RequesterMachine.java
@@ -0,0 +1,123 @@
+package craneway.sim;
+
+import craneway.data.requester.Wire;
+import craneway.model.problem.Kind;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+public final class RequesterMachine extends Machine {
+    private static final int ASKS = 6;
+
+    public record Work(String tenant, String work, boolean once, String regions, int tokens, int deadlineMillis) { }
+
+    private int count;
+    private int keys;
+
+    RequesterMachine(World w, String name, String zone, String address) { super(w, name, zone, address); }
+
+    @Override
+    protected void boot() { }
+
+    @Override
+    protected void tick() { }
+
+    public void submit(Work w) { submit(w, name + "-k" + keys++, 1); }
+
+    public void submit(Work w, String key, int askNo) {
+        var all = world.readyRouters(zone);
+        if (all.isEmpty()) {
+            mineAfter(500_000, () -> { if (askNo < ASKS) submit(w, key, askNo + 1); });
+            return;
+        }
+        var to = all.get(world.sim.random.nextInt(all.size()));
+        var told = new Journal.Told();
+        told.askedAt = now();
+        told.sub = name + "-" + count++;
+        told.key = w.once ? key : "";
+        told.tenant = w.tenant;
+        told.zone = zone;
+        told.tokens = w.tokens;
+        told.deadlineMillis = w.deadlineMillis;
+        world.journal.submissions++;
+        var h = new HashMap<String, String>();
+        h.put(Wire.TENANT, w.tenant);
+        h.put(Wire.WORK, w.work);
+        h.put(Wire.DEADLINE, Integer.toString(w.deadlineMillis));
+        if (w.once) h.put(Wire.KEY, key);
+        if (!w.regions.isEmpty()) h.put(Wire.REGIONS, w.regions);
+        var body = world.service + " " + told.sub + " " + (w.once ? key : "-") + " " + w.tokens;
+        world.open(this, to.address, Wire.TO_RUNNER, h, body.getBytes(), new Ear(told, w, key, askNo));
+    }
+
+    private void over(Journal.Told t, Work w, String key, int askNo) {
+        t.at = now();
+        world.journal.told.add(t);
+        var again = t.verdict.equals("declined") && t.retryAfter > 0 || t.verdict.equals("refused") || t.verdict.equals("lost") || t.verdict.equals("cut");
+        if (again && askNo < ASKS) mineAfter(Math.max(200_000, t.retryAfter), () -> submit(w, key, askNo + 1));
+    }
+
+    private final class Ear implements Wire.Sink {
+        private final Journal.Told told;
+        private final Work work;
+        private final String key;
+        private final int askNo;
+        private final StringBuilder text = new StringBuilder();
+        private int code;
+        private Map<String, String> headers = Map.of();
+
+        Ear(Journal.Told told, Work work, String key, int askNo) {
+            this.told = told;
+            this.work = work;
+            this.key = key;
+            this.askNo = askNo;
+        }
+
+        private void say(String verdict) {
+            told.verdict = verdict;
+            over(told, work, key, askNo);
+        }
+
+        @Override
+        public void refused() { say("refused"); }
+
+        @Override
+        public void status(int c, Map<String, String> h) {
+            code = c;
+            headers = h;
+        }
+
+        @Override
+        public void chunk(byte[] b) { text.append(new String(b)); }
+
+        @Override
+        public void end() {
+            if (code != 200) {
+                told.code = Integer.parseInt(headers.get(Wire.PROBLEM));
+                told.retryAfter = Long.parseLong(headers.get(Wire.RETRY_MICROS));
+                say(Kind.of(told.code).bearing().name().toLowerCase());
+                return;
+            }
+            say(complete() ? "whole" : "false-end");
+        }
+
+        @Override
+        public void broken() {
+            if (code == 0) say("lost");
+            else if (complete()) say("whole");
+            else say(text.toString().contains("[DONE]") ? "false-end" : tokens() < 0 ? "disordered" : "cut");
+        }
+
+        private boolean complete() { return tokens() == told.tokens && text.toString().endsWith("data: [DONE]\n\n"); }
+
+        private int tokens() {
+            var n = 0;
+            for (var l : List.of(text.toString().split("\n"))) {
+                if (!l.startsWith("data: ") || l.contains("{") || l.contains("[")) continue;
+                if (!l.equals("data: " + n)) return -1;
+                n++;
+            }
+            return n;
+        }
+    }
+}
--- /dev/null
+++ b/test/sim/src/main/java/craneway/sim/RouterMachine.java
@@ -0,0 +1,114 @@
+package craneway.sim;
+
+import craneway.control.operator.Operator;
+import craneway.data.requester.Passage;
+import craneway.data.requester.Transaction;
+import craneway.data.requester.Wire;
+import craneway.data.router.Router;
+import craneway.model.problem.Problem;
+import craneway.model.unit.Hash;
+import craneway.state.message.Codec;
+import craneway.state.message.Node;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+public final class RouterMachine extends Machine implements NodePort.Receiver, Stream.Server {
+    public Router router;
+    public Operator operator;
+    private long ids;
+    private boolean leaving;
+
+    RouterMachine(World w, String name, String zone, String address) { super(w, name, zone, address); }
+
+    @Override
+    protected void boot() {
+        var port = new NodePort(this);
+        leaving = false;
+        router = new Router(port, new Node(name, Node.ROUTER, zone, address, world.wall(this)), world.seeds(), new Random(world.sim.random.nextLong()));
+        operator = new Operator(port, router.asker());
+    }
+
+    @Override
+    protected void tick() {
+        if (router.membership().superseded()) {
+            mine(this::crash);
+            return;
+        }
+        router.tick();
+        operator.tick(now());
+        world.sees(this, router.membership().view());
+        if (leaving && router.executor().open() == 0) mine(() -> {
+            router.membership().leave(now());
+            mineAfter(100_000, this::crash);
+        });
+    }
+
+    public void stopGently() {
+        router.unready();
+        mineAfter(2_200_000, () -> {
+            router.executor().stop();
+            leaving = true;
+        });
+    }
+
+    public boolean ready() { return up() && !frozen() && router.ready(); }
+
+    @Override
+    public void receive(byte[] m) { router.receive(Codec.readTagged(m)); }
+
+    @Override
+    public void serve(Stream s, String path, Map<String, String> h, byte[] body) {
+        var text = new String(body);
+        var regions = h.getOrDefault(Wire.REGIONS, "");
+        var t = new Transaction(++ids, text.split(" ")[0], h.get(Wire.TENANT), h.getOrDefault(Wire.WORK, ""),
+            regions.isEmpty() ? List.of() : List.of(regions.split(",")), h.getOrDefault(Wire.KEY, ""), Hash.of(h.getOrDefault(Wire.WORK, "")),
+            now() + Long.parseLong(h.get(Wire.DEADLINE)) * 1000, path.equals(Wire.TO_ROUTER), body);
+        var p = new Passage(t, router.executor(), router.loads(), this::now, name, new Bound(s));
+        var executor = router.executor();
+        s.onCancel(() -> executor.gone(t.id()));
+        p.begin();
+    }
+
+    private final class Bound implements Wire {
+        private final Stream back;
+
+        Bound(Stream back) { this.back = back; }
+
+        @Override
+        public void later(Runnable step) { mine(step); }
+
+        @Override
+        public Call open(String address, String path, Map<String, String> headers, byte[] body, Sink sink) {
+            return world.open(RouterMachine.this, address, path, headers, body, sink);
+        }
+
+        @Override
+        public void start() { back.status(200, Map.of()); }
+
+        @Override
+        public boolean write(byte[] b) {
+            back.chunk(b);
+            return back.open();
+        }
+
+        @Override
+        public void whole() { back.end(); }
+
+        @Override
+        public void verdict(Problem p) {
+            var h = new HashMap<String, String>();
+            h.put(Wire.PROBLEM, Integer.toString(p.kind().code()));
+            h.put(Wire.RETRY_MICROS, Long.toString(p.retryAfter()));
+            back.status(p.kind().status(), h);
+            back.end();
+        }
+
+        @Override
+        public void cut(Problem p, boolean started) {
+            if (started) back.chunk("\n\nevent: error\ndata: {}\n\n".getBytes());
+            back.broken();
+        }
+    }
+}
--- /dev/null
+++ b/test/sim/src/main/java/craneway/sim/Scenario.java
@@ -0,0 +1,211 @@
+package craneway.sim;
+
+import craneway.control.operator.Intent;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+public final class Scenario {
+    private static final long SECOND = 1_000_000;
+
+    public final World world;
+    public final List<String> answers = new ArrayList<>();
+    public final long start;
+    private final Random random;
+    private long pause = 40_000;
+    private boolean traffic;
+
+    public Scenario(long seed, String manifest, int routersEach, int runnersEach, int slots) {
+        world = new World(seed, manifest, routersEach, runnersEach, slots);
+        random = new Random(seed ^ 0x5eed);
+        world.found();
+        start = world.sim.now();
+    }
+
+    public void traffic(long pauseMicros) {
+        pause = pauseMicros;
+        if (traffic) return;
+        traffic = true;
+        for (var r : world.all(RequesterMachine.class)) next(r);
+    }
+
+    public void quiet() { traffic = false; }
+
+    private void next(RequesterMachine r) {
+        if (!traffic) return;
+        r.submit(work());
+        world.sim.after((long) (pause * (0.5 + random.nextDouble())), () -> next(r));
+    }
+
+    public RequesterMachine.Work work() {
+        var n = random.nextInt(10);
+        var named = List.copyOf(world.manifest.tenants().keySet());
+        var tenant = n == 0 && !named.isEmpty() ? named.get(random.nextInt(named.size())) : "tenant-" + random.nextInt(300);
+        var kinds = world.manifest.services().get(world.service).work();
+        var k = random.nextInt(10);
+        var w = kinds.get(k < 5 ? 0 : k < 8 ? 1 % kinds.size() : 2 % kinds.size());
+        return new RequesterMachine.Work(tenant, w.name(), w.runOnce(), "", 3 + random.nextInt(20), 20_000);
+    }
+
+    public void runTo(double seconds) { world.sim.runUntil(start + (long) (seconds * SECOND)); }
+
+    public void runOn(double seconds) { world.sim.runUntil(world.sim.now() + (long) (seconds * SECOND)); }
+
+    public void act(String node, String what) {
+        var w = world;
+        w.timeline.note(w.sim.now(), node, "* " + what);
+        var p = what.split(" ");
+        if (node.equals("operator")) operate(p);
+        else if (node.equals("all")) w.machines.values().stream().filter(m -> !(m instanceof RequesterMachine)).toList().forEach(m -> one(m, p));
+        else if (w.manifest.zones().containsKey(node)) zone(node, p);
+        else one(w.machine(node), p);
+    }
+
+    private void operate(String[] p) {
+        var at = p.length > 2 ? p[2] : "store-1";
+        switch (p[0]) {
+            case "empty" -> world.emptyZone(p[1], at, answers::add);
+            case "take-back" -> world.takeBack(p[1], at, answers::add);
+            case "empty-cell" -> world.intent(new Intent(Intent.EMPTY_CELL, null, world.service, p[1], null, null), at, answers::add);
+            case "take-back-cell" -> world.intent(new Intent(Intent.TAKE_BACK_CELL, null, world.service, p[1], null, null), at, answers::add);
+            case "keep" -> world.intent(new Intent(Intent.KEEP_TENANT, null, null, null, p[1], List.of(p[3].split(","))), at, answers::add);
+            case "send" -> world.send(variant(p[1]), Long.parseLong(p[3]), at);
+            default -> throw new IllegalArgumentException("an operator does not " + p[0]);
+        }
+    }
+
+    public String variant(String mark) {
+        if (mark.equals("invalid")) return world.manifestText.replace("\"regions\": [", "\"regions\": [\"nowhere\", ").replace("\"weight\"", "\"wait\"");
+        if (mark.startsWith("big")) return big(mark);
+        return world.manifestText.replaceFirst("\"claimRetentionMs\": \\d+", "\"claimRetentionMs\": " + (3_600_000 + Math.abs(mark.hashCode() % 1_000_000)));
+    }
+
+    private String big(String mark) {
+        var b = new StringBuilder();
+        for (var i = 0; i < 60_000; i++) b.append(",{\"name\":\"").append(mark).append("-office-").append(i).append("-of-a-long-name\"}");
+        var at = world.manifestText.lastIndexOf(']');
+        return world.manifestText.substring(0, at) + b + world.manifestText.substring(at);
+    }
+
+    private void zone(String zone, String[] p) {
+        var inside = world.machines.values().stream().filter(m -> m.zone.equals(zone)).toList();
+        var outside = world.machines.values().stream().filter(m -> !m.zone.equals(zone)).toList();
+        switch (p[0]) {
+            case "cut" -> {
+                for (var a : inside) for (var b : outside) {
+                    world.net.cut(a, b);
+                    world.net.cut(b, a);
+                }
+                inside.forEach(m -> trouble(m.name));
+            }
+            case "cut-out" -> {
+                for (var a : inside) for (var b : outside) world.net.cut(a, b);
+                inside.forEach(m -> trouble(m.name));
+            }
+            case "heal" -> {
+                for (var a : inside) for (var b : outside) world.net.heal(a, b);
+                inside.forEach(m -> calm(m.name));
+            }
+            default -> inside.stream().filter(m -> !(m instanceof RequesterMachine)).forEach(m -> one(m, p));
+        }
+    }
+
+    private final Map<String, Journal.Down> troubles = new HashMap<>();
+
+    private void trouble(String node) {
+        if (troubles.containsKey(node)) return;
+        var d = new Journal.Down(node, world.sim.now(), new long[] {Long.MAX_VALUE});
+        troubles.put(node, d);
+        world.journal.troubles.add(d);
+    }
+
+    private void calm(String node) {
+        var d = troubles.remove(node);
+        if (d != null) d.until()[0] = world.sim.now() + 6 * SECOND;
+    }
+
+    private void one(Machine m, String[] p) {
+        switch (p[0]) {
+            case "kill" -> {
+                trouble(m.name);
+                m.crash();
+            }
+            case "start" -> {
+                m.start();
+                calm(m.name);
+            }
+            case "freeze" -> {
+                trouble(m.name);
+                m.freeze();
+            }
+            case "wake" -> {
+                m.wake();
+                calm(m.name);
+            }
+            case "power-loss" -> {
+                trouble(m.name);
+                m.crash();
+                if (m instanceof StoreMachine s) s.disk.losePower(world.sim.random);
+            }
+            case "disk-loss" -> {
+                trouble(m.name);
+                m.crash();
+                ((StoreMachine) m).disk.loseAll();
+            }
+            case "disk-damage" -> damage((StoreMachine) m);
+            case "disk-full" -> ((StoreMachine) m).disk.full(true);
+            case "disk-free" -> ((StoreMachine) m).disk.full(false);
+            case "clock-jump" -> world.wallJumps.put(m.name, Long.parseLong(p[1]) * SECOND);
+            case "move-to" -> {
+                m.address = p[1];
+                world.net.join(m);
+            }
+            case "cut-from" -> {
+                var o = world.machine(p[1]);
+                world.net.cut(m, o);
+                world.net.cut(o, m);
+                trouble(m.name);
+            }
+            case "heal-with" -> {
+                world.net.heal(m, world.machine(p[1]));
+                calm(m.name);
+            }
+            case "cut-from-core" -> {
+                for (var s : world.all(StoreMachine.class)) {
+                    world.net.cut(m, s);
+                    world.net.cut(s, m);
+                }
+                trouble(m.name);
+            }
+            case "heal-with-core" -> {
+                for (var s : world.all(StoreMachine.class)) world.net.heal(m, s);
+                calm(m.name);
+            }
+            case "stop-gently" -> ((RouterMachine) m).stopGently();
+            case "hand-over" -> ((StoreMachine) m).store.handOver();
+            case "leave" -> ((RunnerMachine) m).leave();
+            case "go-dark" -> ((RunnerMachine) m).dark(true);
+            case "come-back" -> ((RunnerMachine) m).dark(false);
+            default -> throw new IllegalArgumentException("a machine does not " + p[0]);
+        }
+    }
+
+    private void damage(StoreMachine s) {
+        for (var n : s.disk.names()) if (n.matches("p\\d\\.log\\.\\d+")) s.disk.damage(n, 40);
+    }
+
+    public Checks checks() {
+        var zr = new HashMap<String, String>();
+        world.manifest.zones().values().forEach(z -> zr.put(z.name(), z.region()));
+        var homes = new HashMap<String, List<String>>();
+        world.manifest.tenants().values().forEach(t -> homes.put(t.name(), t.regions()));
+        return new Checks(world.journal, zr, homes, world.all(RouterMachine.class).size());
+    }
+
+    public long wholeSince(double seconds) {
+        var from = start + (long) (seconds * SECOND);
+        return world.journal.told.stream().filter(t -> t.verdict.equals("whole") && t.askedAt >= from).count();
+    }
+}
--- /dev/null
+++ b/test/sim/src/main/java/craneway/sim/World.java
@@ -0,0 +1,165 @@
+package craneway.sim;
+
+import craneway.control.node.Membership;
+import craneway.control.operator.Intent;
+import craneway.control.operator.Operator;
+import craneway.data.requester.Wire;
+import craneway.model.manifest.Manifest;
+import craneway.model.manifest.ManifestReader;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+public final class World {
+    static final long TICK = 50_000;
+
+    public final Sim sim;
+    public final Net net;
+    public final Timeline timeline = new Timeline();
+    public final Journal journal = new Journal();
+    public final Map<String, Machine> machines = new TreeMap<>();
+    public final Map<String, Long> wallJumps = new HashMap<>();
+    public final String service;
+    public final Manifest manifest;
+    public final String manifestText;
+    public boolean warmStart = true;
+    final Set<Stream> streams = new LinkedHashSet<>();
+    private final Map<String, String> lastSeen = new HashMap<>();
+    private final Map<String, Journal.Emptied> open = new HashMap<>();
+    private List<String> seeds = List.of("store-1", "store-2", "store-3");
+    private long manifestVersion;
+
+    public World(long seed, String manifestText, int routersEach, int runnersEach, int slots) {
+        this.manifestText = manifestText;
+        sim = new Sim(seed);
+        net = new Net(sim);
+        manifest = ManifestReader.read(manifestText).get();
+        var s = manifest.services().values().iterator().next();
+        service = s.name();
+        var n = 0;
+        for (var z : manifest.zones().keySet()) {
+            add(new StoreMachine(this, "store-" + ++n, z, "store-" + n));
+            for (var i = 1; i <= routersEach; i++) add(new RouterMachine(this, "router-" + n + "-" + i, z, "router-" + n + "-" + i));
+            add(new RequesterMachine(this, "requester-" + n, z, "requester-" + n));
+        }
+        for (var c : s.cells()) for (var i = 1; i <= runnersEach; i++) {
+            var name = "runner-" + c.name() + "-" + i;
+            add(new RunnerMachine(this, name, c.zone(), name, service, c.name(), slots));
+        }
+    }
+
+    private void add(Machine m) {
+        machines.put(m.name, m);
+        net.join(m);
+    }
+
+    List<String> seeds() { return seeds; }
+
+    public void seeds(List<String> all) { seeds = all; }
+
+    int stores() { return 3; }
+
+    long wall(Machine m) { return 1_000_000_000_000L + sim.now() + wallJumps.getOrDefault(m.name, 0L); }
+
+    public Machine machine(String name) {
+        var m = machines.get(name);
+        if (m == null) throw new IllegalArgumentException("no machine " + name + " among " + machines.keySet());
+        return m;
+    }
+
+    public <T extends Machine> List<T> all(Class<T> type) {
+        var l = new ArrayList<T>();
+        for (var m : machines.values()) if (type.isInstance(m)) l.add(type.cast(m));
+        return l;
+    }
+
+    public List<RouterMachine> routersIn(String zone) {
+        return all(RouterMachine.class).stream().filter(r -> r.zone.equals(zone) && r.up()).toList();
+    }
+
+    List<RouterMachine> readyRouters(String zone) {
+        var near = routersIn(zone).stream().filter(RouterMachine::ready).toList();
+        return near.isEmpty() ? all(RouterMachine.class).stream().filter(RouterMachine::ready).toList() : near;
+    }
+
+    Wire.Call open(Machine from, String address, String path, Map<String, String> headers, byte[] body, Wire.Sink sink) {
+        var s = new Stream(this, from, net.at(address), sink);
+        s.connect(path, headers, body);
+        return s;
+    }
+
+    void broke(Machine m) { for (var s : List.copyOf(streams)) s.machineDied(m); }
+
+    void sees(Machine m, Membership.View v) {
+        if (v.manifest() == null) return;
+        var key = m.life() + "/" + v.topic().version;
+        if (key.equals(lastSeen.put(m.name, key))) return;
+        journal.seen.add(new Journal.Seen(sim.now(), m.name, m.life(), v.topic().version, v.topic().text));
+    }
+
+    public void startAll() { machines.values().forEach(Machine::start); }
+
+    public void found() {
+        startAll();
+        sim.runUntil(sim.now() + 6_000_000);
+        send(manifestText, 0, "store-1");
+        sim.runUntil(sim.now() + 8_000_000);
+    }
+
+    private Operator operator(String at) {
+        var m = machine(at);
+        return m instanceof StoreMachine s ? s.operator : ((RouterMachine) m).operator;
+    }
+
+    public void send(String text, long base, String at) {
+        var sentAt = sim.now();
+        operator(at).send(base, text, r -> {
+            var taken = r.isRight();
+            if (taken) manifestVersion = Math.max(manifestVersion, r.get().version());
+            timeline.note(sim.now(), "operator", taken ? "manifest " + r.get().version() + " taken" : "declined: " + r.getLeft().kind() + " " + r.getLeft().detail());
+            var sure = taken || r.getLeft().kind() != craneway.model.problem.Kind.UNCERTAIN;
+            if (sure) journal.sent.add(new Journal.Sent(text, base, sentAt, sim.now(), taken, taken ? r.get().version() : 0, taken ? r.get().missing() : List.of()));
+        });
+    }
+
+    public long manifestVersion() { return manifestVersion; }
+
+    public void intent(Intent i, String at, Consumer<String> then) {
+        operator(at).plan(i, p -> {
+            if (p.isLeft()) told(then, "declined " + p.getLeft().kind() + ": " + p.getLeft().detail());
+            else operator(at).confirm(p.get().id, c -> {
+                if (c.isLeft()) told(then, "declined " + c.getLeft().kind());
+                else told(then, c.get().able().isEmpty() ? "confirmed" : "pending " + c.get().able());
+            });
+        });
+    }
+
+    private void told(Consumer<String> then, String s) {
+        timeline.note(sim.now(), "operator", s);
+        then.accept(s);
+    }
+
+    public void emptyZone(String zone, String at, Consumer<String> then) {
+        intent(new Intent(Intent.EMPTY_ZONE, zone, null, null, null, null), at, s -> {
+            if (s.equals("confirmed")) {
+                var e = new Journal.Emptied(zone, sim.now(), new long[] {Long.MAX_VALUE});
+                journal.emptied.add(e);
+                open.put(zone, e);
+            }
+            then.accept(s);
+        });
+    }
+
+    public void takeBack(String zone, String at, Consumer<String> then) {
+        var e = open.remove(zone);
+        if (e != null) e.takenBack()[0] = sim.now();
+        intent(new Intent(Intent.TAKE_BACK_ZONE, zone, null, null, null, null), at, then);
+    }
+
+    public void trouble(String node, long from, long until) { journal.troubles.add(new Journal.Down(node, from, new long[] {until})); }
+}
