Promises as drawn timelines; a busy runner no longer empties the tries bucket

Now a try that cannot be paid waits in the buffer for a token, and what others run on a runner is counted apart from our own. Ruled out: affinity bound too tight (same share with bound off). Simulator: a crash broke every stream of the world, not only the machine's own.

--- a/lib/control/src/main/java/craneway/control/node/Membership.java
+++ b/lib/control/src/main/java/craneway/control/node/Membership.java
@@ -59,6 +59,7 @@
     private boolean everHeld;
     private boolean superseded;
     private boolean leaving;
+    private boolean unready;
     private volatile View view;
 
     public Membership(Port port, Directory directory, Asker asker) {
@@ -80,6 +81,17 @@
         return manifest != null;
     }
 
+    public synchronized void unready() {
+        unready = true;
+        serving();
+    }
+
+    private void serving() {
+        var is = !unready && current();
+        var self = directory.self();
+        if (self.isRouter() && self.serving != is) directory.self(self.with(self.incarnation, is));
+    }
+
     public synchronized void leave(long now) {
         leaving = true;
         for (var p = 0; p < leases.length; p++) {
@@ -91,6 +103,7 @@
 
     public synchronized void tick(long now) {
         if (superseded || leaving || directory.self().coreId == 0) return;
+        serving();
         for (var p = 0; p < leases.length; p++) {
             var l = leases[p];
             if (l.held && now >= l.until) {
@@ -147,7 +160,7 @@
         var mine = new TreeMap<String, Node>();
         mine.put(directory.self().name, directory.self());
         for (var n : leases[Parts.of(topic)].members)
-            if (n.isRouter() && n.zone.equals(directory.self().zone)) mine.put(n.name, n);
+            if (n.isRouter() && n.serving && n.zone.equals(directory.self().zone)) mine.put(n.name, n);
         return mine.get(Rendezvous.pick(topic, mine.keySet()));
     }
 
@@ -199,11 +212,7 @@
             superseded = true;
             return;
         }
-        var s = directory.self();
-        var n = new Node(s.name, s.kind, s.zone, s.partner, known + 1);
-        n.storeId = s.storeId;
-        n.coreId = s.coreId;
-        directory.self(n);
+        directory.self(directory.self().with(known + 1, false));
     }
 
     public synchronized void receive(Subscribe s, long now) {
--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -300,7 +300,8 @@
             port.send(r.from.partner, v);
         } else if (r.leaving) {
             leave(r, m);
-        } else if (m == null || m.lapsed || m.node.incarnation != r.from.incarnation || !m.node.partner.equals(r.from.partner)) {
+        } else if (m == null || m.lapsed || m.node.incarnation != r.from.incarnation || !m.node.partner.equals(r.from.partner)
+            || m.node.serving != r.from.serving) {
             var c = new Commands.MemberPut();
             c.node = r.from;
             propose(c, x -> { if (x.kind == 0) renewed(r, port.now()); });
--- a/lib/data/src/main/java/craneway/data/requester/Course.java
+++ b/lib/data/src/main/java/craneway/data/requester/Course.java
@@ -13,6 +13,7 @@
     boolean once;
     boolean claimed;
     boolean started;
+    boolean owesTry;
     long claimNo;
     int unit;
     long bufferedAt;
--- a/lib/data/src/main/java/craneway/data/requester/Decider.java
+++ b/lib/data/src/main/java/craneway/data/requester/Decider.java
@@ -88,7 +88,7 @@
     private Decision forward(View v, Transaction t, String region, int unit, boolean once, Set<String> avoided) {
         var there = new HashMap<String, Node>();
         for (var n : v.members().get(Parts.of(t.service())))
-            if (n.isRouter() && !avoided.contains(n.name) && region.equals(v.manifest().regionOfZone(n.zone))) there.put(n.name, n);
+            if (n.isRouter() && n.serving && !avoided.contains(n.name) && region.equals(v.manifest().regionOfZone(n.zone))) there.put(n.name, n);
         if (there.isEmpty()) return decline(Kind.NO_PATH);
         return new Decision.Forward(there.get(Rendezvous.pick(t.service() + "/" + unit, there.keySet())), unit, once);
     }
--- a/lib/data/src/main/java/craneway/data/requester/Executor.java
+++ b/lib/data/src/main/java/craneway/data/requester/Executor.java
@@ -253,10 +253,8 @@
         if (p.kind() == Kind.NOT_HOME) {
             c.needTable = p.retryAfter();
             c.notBefore = port.now() + RECHECK;
-            if (tries.spend()) {
-                counts.extraTries.incrementAndGet();
-                buffer(c, Problem.of(Kind.NOT_HOME), port.now());
-            } else end(c, Problem.of(Kind.TRIES_SPENT));
+            c.owesTry = true;
+            buffer(c, Problem.of(Kind.NOT_HOME), port.now());
             return;
         }
         c.avoided.add(c.router);
@@ -265,12 +263,18 @@
     }
 
     private void again(Course c) {
-        if (!tries.spend()) {
-            end(c, Problem.of(Kind.TRIES_SPENT));
-            return;
-        }
+        if (!c.move(State.TAKEN)) return;
+        c.owesTry = true;
+        if (payTry(c)) decide(c);
+        else buffer(c, Problem.of(Kind.TRIES_SPENT), port.now());
+    }
+
+    private boolean payTry(Course c) {
+        if (!c.owesTry) return true;
+        if (!tries.spend()) return false;
+        c.owesTry = false;
         counts.extraTries.incrementAndGet();
-        if (c.move(State.TAKEN)) decide(c);
+        return true;
     }
 
     public boolean clear(long id, int tryNo) {
@@ -403,7 +407,7 @@
                     buffered.get(service).decrementAndGet();
                     continue;
                 }
-                if (!tableReady(c) || port.now() < c.notBefore) {
+                if (!tableReady(c) || port.now() < c.notBefore || !payTry(c)) {
                     q.add(c);
                     expire(c);
                     continue;
@@ -423,6 +427,6 @@
     private void expire(Course c) {
         var now = port.now();
         if (now >= c.t.deadline()) end(c, Problem.of(Kind.DEADLINE_PASSED));
-        else if (now - c.bufferedAt > PATIENCE) end(c, Problem.of(Kind.NOT_HOME));
+        else if (now - c.bufferedAt > PATIENCE) end(c, Problem.of(c.owesTry ? Kind.TRIES_SPENT : Kind.NOT_HOME));
     }
 }
--- a/lib/data/src/main/java/craneway/data/router/Router.java
+++ b/lib/data/src/main/java/craneway/data/router/Router.java
@@ -30,7 +30,6 @@
     private final Membership membership;
     private final Loads loads = new Loads();
     private final Executor executor;
-    private volatile boolean stopping;
 
     public Router(Port port, Node self, List<String> seeds, Random random) {
         this.port = port;
@@ -46,9 +45,9 @@
     public Executor executor() { return executor; }
     public Loads loads() { return loads; }
 
-    public boolean ready() { return !stopping && membership.current(); }
+    public boolean ready() { return directory.self().serving; }
 
-    public void unready() { stopping = true; }
+    public void unready() { membership.unready(); }
 
     public void tick() {
         var now = port.now();
--- a/lib/data/src/main/java/craneway/data/runner/Loads.java
+++ b/lib/data/src/main/java/craneway/data/runner/Loads.java
@@ -12,7 +12,7 @@
         long incarnation = Long.MIN_VALUE;
         long since;
         int running;
-        int reported;
+        int others;
         long reportedAt = Long.MIN_VALUE / 2;
         long heard = Long.MIN_VALUE / 2;
         long ejectedUntil = Long.MIN_VALUE / 2;
@@ -47,7 +47,7 @@
     public void reported(String runner, int load, long now) {
         var l = of(runner);
         synchronized (l) {
-            l.reported = load;
+            l.others = Math.max(0, load - l.running);
             l.reportedAt = now;
         }
     }
@@ -81,7 +81,7 @@
 
     public int load(String runner, long now) {
         var l = of(runner);
-        synchronized (l) { return now - l.reportedAt < REPORT_FRESH ? Math.max(l.running, l.reported) : l.running; }
+        synchronized (l) { return now - l.reportedAt < REPORT_FRESH ? l.running + l.others : l.running; }
     }
 
     public boolean usable(Rows.Runner r, long now) {
--- a/lib/state/src/main/java/craneway/state/message/Node.java
+++ b/lib/state/src/main/java/craneway/state/message/Node.java
@@ -10,6 +10,7 @@
     public long incarnation;
     public long storeId;
     public long coreId;
+    public boolean serving;
 
     public Node() { }
 
@@ -21,5 +22,13 @@
         this.incarnation = incarnation;
     }
 
+    public Node with(long newIncarnation, boolean nowServing) {
+        var n = new Node(name, kind, zone, partner, newIncarnation);
+        n.storeId = storeId;
+        n.coreId = coreId;
+        n.serving = nowServing;
+        return n;
+    }
+
     public boolean isRouter() { return kind.equals(ROUTER); }
 }
--- /dev/null
+++ b/test/features/src/test/java/craneway/features/SimSteps.java
@@ -0,0 +1,172 @@
+package craneway.features;
+
+import craneway.sim.Chaos;
+import craneway.sim.Checks;
+import craneway.sim.RequesterMachine;
+import craneway.sim.RouterMachine;
+import craneway.sim.Scenario;
+import craneway.sim.StoreMachine;
+import io.cucumber.datatable.DataTable;
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.ArrayList;
+import java.util.List;
+
+public final class SimSteps {
+    private record Act(double at, String node, String what) { }
+
+    private Scenario s;
+    private Checks checks;
+
+    @Given("a fleet under seed {long}")
+    public void fleet(long seed) { s = new Scenario(seed, Chaos.example(), 2, 8); }
+
+    @Given("runners that start cold")
+    public void cold() { s.world.warmStart = false; }
+
+    @Given("a network that loses {double} of all messages")
+    public void loses(double share) { s.world.net.dropped(share); }
+
+    @Given("a submission at each requester about every {long} ms")
+    public void traffic(long ms) { s.traffic(ms * 1000); }
+
+    @When("this happens")
+    public void happens(DataTable t) {
+        var rows = t.asLists();
+        var head = rows.get(0);
+        var acts = new ArrayList<Act>();
+        for (var r : rows.subList(1, rows.size()))
+            for (var c = 1; c < head.size(); c++)
+                if (r.get(c) != null && !r.get(c).isBlank()) for (var w : r.get(c).split(";")) acts.add(new Act(Double.parseDouble(r.get(0)), head.get(c), w.trim()));
+        for (var a : acts) {
+            s.runTo(a.at);
+            act(a);
+        }
+    }
+
+    private void act(Act a) {
+        if (a.node.equals("seeds")) s.world.seeds(List.of(a.what.split(" ")));
+        else if (a.node.startsWith("requester") && a.what.startsWith("submit")) submit(a.node, a.what.split(" "));
+        else s.act(a.node, a.what);
+    }
+
+    private void submit(String node, String[] p) {
+        ((RequesterMachine) s.world.machine(node)).submit(new RequesterMachine.Work(p[2], p[1], p[1].equals("extract"), "", Integer.parseInt(p[4]), 20_000), p[3], 1);
+    }
+
+    @Then("until second {double} every promise is kept")
+    public void kept(double second) {
+        s.runTo(second);
+        s.quiet();
+        s.runOn(30);
+        checks = s.checks();
+        var wrong = checks.all();
+        if (!wrong.isEmpty()) throw new AssertionError(String.join("\n", wrong) + "\n" + s.world.timeline.draw());
+    }
+
+    @Then("submissions asked from second {double} on are served")
+    public void served(double second) {
+        var asked = s.world.journal.told.stream().filter(t -> t.askedAt >= s.start + (long) (second * 1e6)).toList();
+        var whole = asked.stream().filter(t -> t.verdict.equals("whole")).count();
+        check(asked.size() > 10, "only " + asked.size() + " submissions were asked");
+        check(whole >= asked.size() * 0.97, whole + " of " + asked.size() + " were served: " + s.world.journal.summary(s.start + (long) (second * 1e6)));
+    }
+
+    @Then("no submission is lost")
+    public void noneLost() {
+        var bad = checks.lost();
+        check(bad.isEmpty(), bad.size() + " of " + s.world.journal.submissions + ", first " + (bad.isEmpty() ? "" : bad.get(0)) + " " + s.world.journal.summary(0));
+    }
+
+    @Then("the operator was told {string}")
+    public void told(String text) {
+        check(s.answers.stream().anyMatch(a -> a.startsWith(text)), "told " + s.answers);
+    }
+
+    @Then("the operator was not told {string}")
+    public void notTold(String text) {
+        check(s.answers.stream().noneMatch(a -> a.startsWith(text)), "told " + s.answers);
+    }
+
+    @Then("{string} on the timeline of {word}")
+    public void shown(String text, String node) {
+        check(s.world.timeline.has(node, text), node + " never noted " + text + "\n" + s.world.timeline.draw());
+    }
+
+    @Then("exactly {int} of the manifests sent were taken")
+    public void taken(int n) {
+        var t = s.world.journal.sent.stream().filter(m -> m.taken()).count() - 1;
+        check(t == n, t + " were taken");
+    }
+
+    @Then("every node has the newest manifest")
+    public void newest() {
+        var v = s.world.manifestVersion();
+        for (var m : s.world.all(RouterMachine.class)) check(m.router.membership().view().topic().version == v, m.name + " has not " + v);
+        for (var m : s.world.all(StoreMachine.class)) check(m.store.membership().view().topic().version == v, m.name + " has not " + v);
+    }
+
+    @Then("key {word} ran exactly {int} time(s)")
+    public void ran(String key, int n) {
+        var c = s.world.journal.runs.stream().filter(r -> r.key.equals(key)).count();
+        check(c == n, "ran " + c + " times");
+    }
+
+    @Then("at least {int} runs started in {word} between seconds {double} and {double}")
+    public void runsIn(int n, String zone, double from, double to) {
+        var c = runs(zone, from, to);
+        check(c >= n, c + " runs");
+    }
+
+    @Then("no run started in {word} between seconds {double} and {double}")
+    public void noRunsIn(String zone, double from, double to) {
+        var c = runs(zone, from, to);
+        check(c == 0, c + " runs");
+    }
+
+    private long runs(String where, double from, double to) {
+        return s.world.journal.runs.stream().filter(r -> (r.zone.equals(where) || r.runner.equals(where)) && r.at >= s.start + (long) (from * 1e6) && r.at < s.start + (long) (to * 1e6)).count();
+    }
+
+    @Then("verdict {word} was told at least {int} time(s)")
+    public void verdicts(String verdict, int n) {
+        var c = s.world.journal.told.stream().filter(t -> t.verdict.equals(verdict)).count();
+        check(c >= n, c + " times");
+    }
+
+    @Then("service in {word} was back within {double} seconds of second {double}")
+    public void back(String zone, double within, double second) {
+        var from = s.start + (long) (second * 1e6);
+        var first = s.world.journal.runs.stream().filter(r -> r.zone.equals(zone) && r.at >= from && r.whole).mapToLong(r -> r.at).min();
+        check(first.isPresent() && first.getAsLong() - from <= within * 1e6, "first run after " + (first.isPresent() ? (first.getAsLong() - from) / 1e6 : -1) + " s");
+    }
+
+    @Then("the runner {word} is {word} at every live router")
+    public void runnerState(String runner, String state) {
+        for (var m : s.world.all(RouterMachine.class)) {
+            var r = m.router.membership().view().services().get(s.world.service).runners.get(runner);
+            check(r != null && r.stateName().equals(state), m.name + " sees " + (r == null ? "none" : r.stateName()));
+        }
+    }
+
+    @Then("seeds {long} to {long} of random faults keep every promise")
+    public void chaos(long from, long to) {
+        for (var seed = from; seed <= to; seed++) {
+            var f = Chaos.faults(seed);
+            var r = Chaos.run(seed, Chaos.example(), f);
+            if (r.wrong().isEmpty()) continue;
+            var least = Chaos.shortest(seed, Chaos.example(), f);
+            throw new AssertionError("seed " + seed + ": " + r.wrong() + "\nshortest schedule: " + least + "\n" + Chaos.run(seed, Chaos.example(), least).timeline());
+        }
+    }
+
+    private void check(boolean ok, String text) {
+        if (!ok) throw new AssertionError(text);
+    }
+
+    @After
+    public void forget() { s = null; }
+
+}
--- a/test/sim/src/main/java/craneway/sim/Chaos.java
+++ b/test/sim/src/main/java/craneway/sim/Chaos.java
@@ -80,7 +80,7 @@
     }
 
     public static Result run(long seed, String manifest, List<Fault> faults) {
-        var s = new Scenario(seed, manifest, 2, 2, 6);
+        var s = new Scenario(seed, manifest, 2, 6);
         s.traffic(120_000);
         for (var f : faults) {
             s.runTo(f.at);
--- a/test/sim/src/main/java/craneway/sim/Journal.java
+++ b/test/sim/src/main/java/craneway/sim/Journal.java
@@ -1,7 +1,10 @@
 package craneway.sim;
 
+import craneway.model.problem.Kind;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 public final class Journal {
     public static final class Run {
@@ -52,4 +55,10 @@
     public final List<Seen> seen = new ArrayList<>();
     public final List<Down> troubles = new ArrayList<>();
     public int submissions;
+
+    public Map<String, Integer> summary(long from) {
+        var m = new TreeMap<String, Integer>();
+        for (var t : told) if (t.askedAt >= from) m.merge(t.verdict + (t.code == 0 ? "" : " " + Kind.of(t.code)), 1, Integer::sum);
+        return m;
+    }
 }
--- a/test/sim/src/main/java/craneway/sim/Scenario.java
+++ b/test/sim/src/main/java/craneway/sim/Scenario.java
@@ -17,8 +17,8 @@
     private long pause = 40_000;
     private boolean traffic;
 
-    public Scenario(long seed, String manifest, int routersEach, int runnersEach, int slots) {
-        world = new World(seed, manifest, routersEach, runnersEach, slots);
+    public Scenario(long seed, String manifest, int routersEach, int slots) {
+        world = new World(seed, manifest, routersEach, slots);
         random = new Random(seed ^ 0x5eed);
         world.found();
         start = world.sim.now();
--- a/test/sim/src/main/java/craneway/sim/Stream.java
+++ b/test/sim/src/main/java/craneway/sim/Stream.java
@@ -92,7 +92,7 @@
             over = true;
             world.streams.remove(this);
             if (to.up() && world.net.open(from, to)) to.run(onCancel);
-        } else {
+        } else if (m == to) {
             over = true;
             world.streams.remove(this);
             if (world.net.open(to, from)) world.sim.after(world.net.latency(from, to), () -> { if (from.up()) from.run(sink::broken); });
--- a/test/sim/src/main/java/craneway/sim/Timeline.java
+++ b/test/sim/src/main/java/craneway/sim/Timeline.java
@@ -11,6 +11,8 @@
 
     public void note(long at, String node, String text) { lines.add(new Line(at, node, text)); }
 
+    public boolean has(String node, String text) { return lines.stream().anyMatch(l -> l.node.equals(node) && l.text.contains(text)); }
+
     public String draw() {
         var nodes = new ArrayList<>(new TreeSet<>(lines.stream().map(Line::node).toList()));
         var b = new StringBuilder(String.format("%10s", "seconds"));
--- a/test/sim/src/main/java/craneway/sim/World.java
+++ b/test/sim/src/main/java/craneway/sim/World.java
@@ -34,7 +34,7 @@
     private List<String> seeds = List.of("store-1", "store-2", "store-3");
     private long manifestVersion;
 
-    public World(long seed, String manifestText, int routersEach, int runnersEach, int slots) {
+    public World(long seed, String manifestText, int routersEach, int slots) {
         this.manifestText = manifestText;
         sim = new Sim(seed);
         net = new Net(sim);
@@ -47,7 +47,7 @@
             for (var i = 1; i <= routersEach; i++) add(new RouterMachine(this, "router-" + n + "-" + i, z, "router-" + n + "-" + i));
             add(new RequesterMachine(this, "requester-" + n, z, "requester-" + n));
         }
-        for (var c : s.cells()) for (var i = 1; i <= runnersEach; i++) {
+        for (var c : s.cells()) for (var i = 1; i <= c.weight(); i++) {
             var name = "runner-" + c.name() + "-" + i;
             add(new RunnerMachine(this, name, c.zone(), name, service, c.name(), slots));
         }
