--- a/lib/data/src/main/java/craneway/data/runner/Loads.java
+++ b/lib/data/src/main/java/craneway/data/runner/Loads.java
@@ -95,6 +95,7 @@
     }
 
     public int room(Rows.Runner r, long warmUp, int routers, long now) {
+        meet(r, now);
         var l = of(r.name);
         synchronized (l) {
             var past = now - l.since;
