Bad input by kind, quotas at the unit's home, checksums on messages

Cause: a malformed batch of messages was read as an empty one (204); an announcement without a number was told as bad JSON. Quotas: the home router takes shares of a tenant's minute from the part, which declines stale tables and foreign regions like any other write.

--- a/lib/data/src/main/java/craneway/data/requester/Course.java
+++ b/lib/data/src/main/java/craneway/data/requester/Course.java
@@ -12,6 +12,7 @@
     int tryNo;
     boolean once;
     boolean claimed;
+    boolean metered;
     boolean started;
     boolean owesTry;
     long claimNo;
--- a/lib/data/src/main/java/craneway/data/requester/Executor.java
+++ b/lib/data/src/main/java/craneway/data/requester/Executor.java
@@ -23,6 +23,7 @@
 
 public final class Executor {
     public static final long DRAIN = 1_500_000;
+    private static final int QUOTA_SHARE = 10;
     private static final long PATIENCE = 5_000_000, CLAIM_PATIENCE = 3_000_000, FINISH_PATIENCE = 60_000_000, RECHECK = 100_000, SILENT = 3_000_000;
 
     private final Port port;
@@ -37,6 +38,7 @@
     private final Map<String, ConcurrentLinkedQueue<Course>> buffers = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> buffered = new ConcurrentHashMap<>();
     private final Map<String, Long> closedSince = new ConcurrentHashMap<>();
+    private final Quotas quotas = new Quotas();
     private final AtomicLong claimNo = new AtomicLong();
     private volatile boolean stopping;
 
@@ -79,6 +81,10 @@
     private void serve(Course c, Decision.Serve s) {
         c.unit = s.unit();
         c.once = s.runOnce();
+        if (!metered(c)) {
+            meter(c, s);
+            return;
+        }
         if (c.once && !c.claimed) {
             claim(c, s);
             return;
@@ -122,6 +128,36 @@
         buffers.computeIfAbsent(c.t.service(), k -> new ConcurrentLinkedQueue<>()).add(c);
     }
 
+    private boolean metered(Course c) {
+        if (c.metered) return true;
+        var t = membership.view().manifest().tenant(c.t.tenant());
+        c.metered = t == null || t.quota() == 0 || quotas.take(c.t.service() + "/" + c.t.tenant(), port.now());
+        return c.metered;
+    }
+
+    private void meter(Course c, Decision.Serve s) {
+        if (!c.move(State.CLAIMING)) return;
+        var x = new Commands.QuotaTake();
+        x.service = c.t.service();
+        x.tenant = c.t.tenant();
+        x.unit = s.unit();
+        x.tableVersion = s.tableVersion();
+        x.region = membership.view().manifest().regionOfZone(directory.self().zone);
+        x.limit = membership.view().manifest().tenant(c.t.tenant()).quota();
+        x.count = Math.max(1, x.limit / QUOTA_SHARE);
+        asker.ask(Parts.of(x.service), x, CLAIM_PATIENCE, v -> meteredBy(c, v));
+    }
+
+    private void meteredBy(Course c, AskVerdict v) {
+        if (v.kind == 0) quotas.add(c.t.service() + "/" + c.t.tenant(), (int) v.version, port.now() + v.retryAfter);
+        synchronized (c) {
+            if (c.state != State.CLAIMING) return;
+            if (v.kind == 0) decide(c);
+            else if (v.kind == Kind.QUOTA_SPENT.code()) end(c, Problem.of(Kind.QUOTA_SPENT, v.detail, v.retryAfter));
+            else notAsked(c, Kind.of(v.kind), v);
+        }
+    }
+
     private void claim(Course c, Decision.Serve s) {
         if (!c.move(State.CLAIMING)) return;
         var x = new Commands.Claim();
@@ -172,18 +208,18 @@
                 return;
             }
             if (v.kind == 0) decide(c);
-            else notClaimed(c, Kind.of(v.kind), v);
+            else notAsked(c, Kind.of(v.kind), v);
         }
     }
 
-    private void notClaimed(Course c, Kind k, AskVerdict v) {
+    private void notAsked(Course c, Kind k, AskVerdict v) {
         switch (k) {
             case STALE_TABLE, NOT_UNIT_HOME -> {
                 c.needTable = v.version;
                 buffer(c, Problem.of(Kind.NOT_HOME), port.now());
             }
             case UNCERTAIN, NO_OWNER -> {
-                c.claimed = true;
+                c.claimed = c.claimNo != 0;
                 end(c, Problem.of(Kind.NO_OWNER));
             }
             case STALE_MEMBER -> end(c, Problem.of(Kind.CUT_OFF));
--- a/lib/link/src/main/java/craneway/link/http/Names.java
+++ b/lib/link/src/main/java/craneway/link/http/Names.java
@@ -1,6 +1,7 @@
 package craneway.link.http;
 
 import io.undertow.util.HttpString;
+import java.util.zip.CRC32C;
 
 public final class Names {
     public static final HttpString TENANT = new HttpString("craneway-tenant");
@@ -17,9 +18,16 @@
     public static final HttpString ROUTER = new HttpString("craneway-router");
     public static final HttpString CORE = new HttpString("craneway-core");
     public static final HttpString WIRE = new HttpString("craneway-wire");
+    public static final HttpString CHECK = new HttpString("craneway-check");
     public static final HttpString BASE = new HttpString("craneway-base");
     public static final HttpString VERSION = new HttpString("craneway-version");
     public static final String WIRE_VERSION = "1";
 
     private Names() { }
+
+    public static String check(byte[] body) {
+        var c = new CRC32C();
+        c.update(body);
+        return Long.toHexString(c.getValue());
+    }
 }
--- a/lib/link/src/main/java/craneway/link/partner/PartnerDesk.java
+++ b/lib/link/src/main/java/craneway/link/partner/PartnerDesk.java
@@ -43,6 +43,7 @@
 
     private void take(HttpServerExchange e, byte[] b) {
         try {
+            if (!Names.check(b).equals(e.getRequestHeaders().getFirst(Names.CHECK))) throw new BadMessage("checksum differs");
             for (var m : Codec.read(Batch.class, b).messages) receive.accept(Codec.readTagged(m));
             e.setStatusCode(204);
         } catch (BadMessage x) {
--- a/lib/link/src/main/java/craneway/link/partner/Post.java
+++ b/lib/link/src/main/java/craneway/link/partner/Post.java
@@ -70,8 +70,9 @@
             }
             bytes -= n;
             since = now.getAsLong();
-            call = caller.keep(kept, address, Methods.POST, "/partner", Map.of(Names.WIRE, Names.WIRE_VERSION,
-                Names.CORE, Long.toHexString(core.getAsLong())), Codec.write(b), CONNECT_MILLIS, this);
+            var body = Codec.write(b);
+            call = caller.keep(kept, address, Methods.POST, "/partner", Map.of(Names.WIRE, Names.WIRE_VERSION, Names.CORE,
+                Long.toHexString(core.getAsLong()), Names.CHECK, Names.check(body)), body, CONNECT_MILLIS, this);
         }
 
         private synchronized void over(boolean keep) {
--- a/lib/link/src/main/java/craneway/link/runner/RunnerDesk.java
+++ b/lib/link/src/main/java/craneway/link/runner/RunnerDesk.java
@@ -1,7 +1,9 @@
 package craneway.link.runner;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonParseException;
+import com.fasterxml.jackson.core.io.JsonEOFException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import craneway.data.router.Router;
 import craneway.data.runner.Announcement;
@@ -44,13 +46,17 @@
         try {
             if (announce) announce(x, JSON.readValue(b, Announcement.class));
             else leave(x, JSON.readValue(b, Leave.class));
-        } catch (JsonProcessingException e) {
-            Problems.send(x, Problem.of(e.getProcessor() == null ? Kind.BAD_FIELD : Kind.BAD_JSON, e.getOriginalMessage()));
+        } catch (JsonParseException e) {
+            Problems.send(x, Problem.of(Kind.BAD_JSON, e.getOriginalMessage()));
+        } catch (JsonMappingException e) {
+            Problems.send(x, Problem.of(cut(e) ? Kind.BAD_JSON : Kind.BAD_FIELD, e.getOriginalMessage()));
         } catch (IOException e) {
             Problems.send(x, Problem.of(Kind.BAD_JSON, e.getMessage()));
         }
     }
 
+    private static boolean cut(JsonMappingException e) { return e.getCause() instanceof JsonEOFException || e.getCause() instanceof JsonParseException; }
+
     private void announce(HttpServerExchange x, Announcement a) {
         if (blank(a.service()) || blank(a.name()) || blank(a.cell()) || a.address() == null || Addresses.bad(a.address())
             || a.slots() < 1 || a.slots() > 100_000 || a.load() < 0) {
--- /dev/null
+++ b/test/features/src/test/resources/features/bad-input.feature
@@ -0,0 +1,86 @@
+Feature: Bad input gets a clear verdict and has no effect
+
+  Scenario: Requesters, runners and operators are declined by kind
+    Given a store, a router and a runner in this process
+    Then each of these is declined with its own kind and nothing runs
+      | to          | method | path                 | headers                                                          | body                  | status | kind                  |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup                           | cut short             | 400    | bad_json              |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup                           | with a field twice    | 400    | bad_json              |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup                           | with junk behind      | 400    | bad_json              |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup                           | with an unknown field | 400    | bad_field             |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup                           | without messages      | 400    | bad_field             |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup                           | not streaming         | 400    | bad_field             |
+      | requester   | POST   | /v1/chat/completions | craneway-work=lookup                                             | good                  | 400    | missing_tenant        |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup                           | of unknown service    | 404    | unknown_service       |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=poem                             | good                  | 400    | unknown_work          |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=extract                          | good                  | 400    | run_once_without_key  |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup craneway-regions=atlantis | good                  | 403    | no_home_region        |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=office-zagreb-centre craneway-work=lookup craneway-regions=split | good  | 403    | no_home_region        |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup                           | too large             | 413    | too_large             |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup                           | far too large         | 413    | too_large             |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup craneway-deadline-ms=0    | good                  | 504    | deadline_passed       |
+      | requester   | POST   | /v1/chat/completions | craneway-tenant=t craneway-work=lookup craneway-deadline-ms=soon | good                  | 400    | bad_field             |
+      | requester   | GET    | /v1/chat/completions |                                                                  |                       | 405    | wrong_method          |
+      | requester   | POST   | /v2                  |                                                                  | good                  | 404    | no_such_page          |
+      | runner-desk | POST   | /v1/announce         |                                                                  | {"name":              | 400    | bad_json              |
+      | runner-desk | POST   | /v1/announce         |                                                                  | {"name":"r"}          | 400    | bad_field             |
+      | runner-desk | POST   | /v1/announce         |                                                                  | {"service":"registry","name":"r","address":"here","cell":"zagreb-a","slots":1,"incarnation":1,"cold":false,"load":0} | 400 | bad_field |
+      | runner-desk | POST   | /v1/announce         |                                                                  | {"service":"registry","name":"r","address":"127.0.0.1:5","cell":"moon","slots":1,"incarnation":1,"cold":false,"load":0} | 400 | bad_field |
+      | runner-desk | POST   | /v1/leave            |                                                                  | {"service":"registry","name":"ghost","incarnation":1} | 409 | stale_runner |
+      | operator    | PUT    | /v1/manifest         | craneway-base=1                                                  | {"name": 5}           | 422    | bad_manifest          |
+      | operator    | PUT    | /v1/manifest         |                                                                  | {}                    | 400    | bad_operator_input    |
+      | operator    | POST   | /v1/intents          |                                                                  | {"intent":"empty-zone","zone":"atlantis"} | 422 | bad_intent |
+      | operator    | POST   | /v1/intents          |                                                                  | {"intent":"dance"}    | 422    | bad_intent            |
+      | operator    | POST   | /v1/intents          |                                                                  | {"what":1}            | 400    | bad_operator_input    |
+      | operator    | POST   | /v1/intents          |                                                                  | {"intent":"keep-tenant","tenant":"nobody","regions":["split"]} | 422 | bad_intent |
+      | operator    | POST   | /v1/intents          |                                                                  | {"intent":"empty-zone","zone":"zagreb-1"} | 422 | bad_intent |
+      | operator    | POST   | /v1/plans/77/confirm |                                                                  |                       | 404    | unknown_plan          |
+      | operator    | GET    | /v1/plans/77         |                                                                  |                       | 404    | unknown_plan          |
+    And the manifest in force is still version 1
+
+  Scenario: Messages between processes that are malformed or foreign are declined with an event
+    Given a store, a router and a runner in this process
+    Then messages between processes that are "malformed" get 400 and change nothing
+    And messages between processes that are "of another core" get 403 and change nothing
+    And messages between processes that are "of another version" get 403 and change nothing
+    And messages between processes that are "without a core" get 403 and change nothing
+
+  Scenario Outline: A requester that hangs up <when> frees its runner
+    Given a store, a router and a runner in this process
+    When a requester asks for 400 tokens and hangs up "<when>"
+    Then the runner's call is cancelled before its end
+
+    Examples:
+      | when                   |
+      | in the stream          |
+      | before the first token |
+
+  Scenario: Run-once work is told its record the second time
+    Given a store, a router and a runner in this process
+    When run-once work "k1" is submitted
+    Then the reply is 200 "[DONE]"
+    When run-once work "k1" is submitted
+    Then the reply is 409 "already_done"
+
+  Scenario: A tenant's quota is kept where its unit is at home
+    Given a store, a router and a runner in this process
+    When a tenant with a quota of 5 submits 8 lookups
+    Then 5 are served and 3 declined as spent, with when to come back
+
+  Scenario Outline: Wrong startup values and flags end with code 2 and one message
+    Given a startup file '{"name":"a b","zone":"","partner":"nowhere","colour":"red","seeds":["127.0.0.1:1"]}'
+    When the command line is run with "<line>"
+    Then it ends with <code> and says "<text>"
+
+    Examples:
+      | line                                                   | code | text                                                                                             |
+      | router --startup target/startup.json                   | 2    | name \"a b\" is not & zone is missing & partner \"nowhere\" & unknown value & three different & requester is missing |
+      | store --startup target/startup.json                    | 2    | data is missing & zone is missing                                                                |
+      | store --startup target/none.json                       | 2    | cannot be read                                                                                   |
+      | router --colour red                                    | 2    | Unknown option                                                                                   |
+      | craneway status --at here                              | 2    | is not IP:PORT                                                                                   |
+      | craneway manifest send target/none.json --base 0 --at 127.0.0.1:1 | 2 | cannot read                                                                              |
+      | craneway manifest check target/startup.json            | 3    | not valid                                                                                        |
+      | craneway load --to 127.0.0.1:1 --service s --work a    | 2    | is not NAME:SHARE                                                                                |
+      | craneway plan confirm seven --at 127.0.0.1:1           | 2    | seven                                                                                            |
+      | craneway fleet target/startup.json --folder target/x   | 3    | not valid                                                                                        |
--- a/test/standin/src/main/java/craneway/standin/StandinRunner.java
+++ b/test/standin/src/main/java/craneway/standin/StandinRunner.java
@@ -69,6 +69,8 @@
         beats.scheduleWithFixedDelay(this::announce, 0, 500, TimeUnit.MILLISECONDS);
     }
 
+    public int running() { return running.get(); }
+
     private boolean cold() { return System.nanoTime() - born < shape.warmUpMillis * 1_000_000L; }
 
     private void announce() {
