--- /dev/null
+++ b/test/features/src/test/java/craneway/features/ProcessSteps.java
@@ -0,0 +1,105 @@
+package craneway.features;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import craneway.command.CranewayMain;
+import craneway.standin.Checker;
+import craneway.standin.Faults;
+import craneway.standin.Fleet;
+import io.cucumber.datatable.DataTable;
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+
+public final class ProcessSteps {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private Fleet f;
+    private Path journal;
+    private Checker checker;
+    private boolean planned = true;
+    private int code;
+
+    @Given("a fleet of processes with {int} router(s) in each zone and a runner in each cell")
+    public void fleet(int routers) throws IOException {
+        var folder = Files.createTempDirectory("craneway-fleet").resolve("fleet");
+        var manifest = folder.resolveSibling("maticar.json");
+        try (var in = getClass().getResourceAsStream("/craneway/sim/maticar.json")) {
+            Files.write(manifest, in.readAllBytes());
+        }
+        f = new Fleet(folder, manifest, routers + "," + routers + "," + routers, "1,1,1", "12");
+        f.startAll();
+        f.awaitServing(3);
+        journal = folder.resolve("journal").resolve("requesters.jsonl");
+    }
+
+    @When("a load of {int} streams of about {int} tokens runs while this happens")
+    public void load(int streams, int tokens, DataTable t) throws Exception {
+        var load = CompletableFuture.supplyAsync(() -> CranewayMain.run("load", "--to", f.addresses("routers", "requester"), "--platform",
+            f.addresses("routers", "platform"), "--service", "registry", "--work", "lookup:60,summary:30,extract:10:once", "--streams",
+            Integer.toString(streams), "--tokens", Integer.toString(tokens), "--at-once", "12", "--journal", journal.toString()));
+        for (var r : t.asMaps()) {
+            var at = Long.parseLong(r.get("at stream"));
+            var fault = r.get("fault");
+            planned &= !fault.matches("(kill|freeze)-(router|store)|wipe-store|kill-runner");
+            f.await("stream " + at, () -> load.isDone() || lines() >= at);
+            if (load.isDone()) throw new AssertionError("the load was over before " + fault);
+            Faults.bring(f, fault);
+        }
+        code = load.get();
+        for (var r : f.names("runners")) if (f.isRunning(r)) f.ask(r);
+        for (var r : f.names("runners")) if (f.isRunning(r)) f.ended(r);
+        checker = f.check(journal);
+    }
+
+    private long lines() {
+        try (var l = Files.lines(journal)) {
+            return l.count();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    @Then("the journals agree and every promise they show was kept")
+    public void agree() {
+        var wrong = checker.verdict(planned);
+        if (!wrong.isEmpty() || code != 0) throw new AssertionError("load ended with " + code + ", " + wrong + " " + checker.counts());
+    }
+
+    @Then("at least {int} streams were whole")
+    public void whole(int n) throws IOException {
+        var c = count("whole");
+        if (c < n) throw new AssertionError(c + " whole of " + lines());
+    }
+
+    @Then("no submission ended otherwise than whole or told when to come back")
+    public void noneLost() throws IOException {
+        for (var v : new String[] {"cut", "lost", "broken", "unknown", "silent", "strange"})
+            if (count(v) > 0) throw new AssertionError(count(v) + " ended as " + v);
+    }
+
+    @Then("some stream was visibly cut")
+    public void cut() throws IOException {
+        if (count("cut") == 0) throw new AssertionError("none was cut");
+    }
+
+    private long count(String verdict) throws IOException {
+        var n = 0L;
+        for (var l : Files.readAllLines(journal)) if (JSON.readTree(l).get("verdict").asText().equals(verdict)) n++;
+        return n;
+    }
+
+    @Then("status shows every part owned and 3 stores in each group")
+    public void status() {
+        f.await("all parts whole", () -> f.names("stores").stream().allMatch(f::votes));
+    }
+
+    @After
+    public void close() {
+        if (f != null) f.close();
+    }
+}
--- /dev/null
+++ b/test/features/src/test/resources/features/processes.feature
@@ -0,0 +1,30 @@
+Feature: The same against real processes
+
+  Scenario: Restarts one by one under load lose nothing
+    Given a fleet of processes with 2 routers in each zone and a runner in each cell
+    When a load of 4000 streams of about 20 tokens runs while this happens
+      | at stream | fault   |
+      | 100       | rolling |
+    Then the journals agree and every promise they show was kept
+    And no submission ended otherwise than whole or told when to come back
+
+  Scenario: kill -9, SIGSTOP and a deleted data folder break no promise
+    Given a fleet of processes with 1 router in each zone and a runner in each cell
+    When a load of 2500 streams of about 20 tokens runs while this happens
+      | at stream | fault         |
+      | 100       | kill-store    |
+      | 300       | kill-router   |
+      | 500       | start-all     |
+      | 700       | wipe-store    |
+      | 900       | freeze-router |
+    Then the journals agree and every promise they show was kept
+    And at least 2000 streams were whole
+    And status shows every part owned and 3 stores in each group
+
+  Scenario: A stream cut on the wire is seen as cut
+    Given a fleet of processes with 1 router in each zone and a runner in each cell
+    When a load of 150 streams of about 200 tokens runs while this happens
+      | at stream | fault       |
+      | 20        | kill-runner |
+    Then the journals agree and every promise they show was kept
+    And some stream was visibly cut
