--- a/lib/control/src/main/java/craneway/control/store/Store.java
+++ b/lib/control/src/main/java/craneway/control/store/Store.java
@@ -11,6 +11,7 @@
 import craneway.state.disk.DiskLost;
 import craneway.state.disk.DiskProblem;
 import craneway.state.disk.Folder;
+import craneway.state.disk.Seal;
 import craneway.state.message.BadMessage;
 import craneway.state.message.Codec;
 import craneway.state.message.Messages.Ask;
@@ -69,10 +70,14 @@
 
     private long identity() {
         var b = folder.read(IDENTITY);
-        if (b != null && b.length == 8) return ByteBuffer.wrap(b).getLong();
-        if (!folder.names().isEmpty()) setAside("the identity is missing or damaged");
+        try {
+            if (b != null) return ByteBuffer.wrap(Seal.open(IDENTITY, b)).getLong();
+            if (!folder.names().stream().allMatch(n -> n.startsWith(LOST))) setAside("the identity is missing");
+        } catch (DiskLost e) {
+            setAside(e.getMessage());
+        }
         var id = random.nextLong() >>> 1 | 1;
-        folder.replace(IDENTITY, ByteBuffer.allocate(8).putLong(id).array());
+        folder.replace(IDENTITY, Seal.close(ByteBuffer.allocate(8).putLong(id).array()));
         return id;
     }
 
@@ -97,7 +102,7 @@
         var b = folder.read(CORE);
         if (b == null) return;
         try {
-            start(Codec.read(Founding.class, b));
+            start(Codec.read(Founding.class, Seal.open(CORE, b)));
         } catch (DiskLost | BadMessage e) {
             setAside(e.getMessage());
             directory.self().storeId = identity();
@@ -198,7 +203,7 @@
     }
 
     private void adopt(Founding f) {
-        folder.replace(CORE, Codec.write(f));
+        folder.replace(CORE, Seal.close(Codec.write(f)));
         port.note(f.has(directory.self().storeId) ? Event.FOUNDED : Event.JOINED_CORE, "core " + Long.toHexString(f.coreId));
         start(f);
     }
--- a/lib/data/src/main/java/craneway/data/requester/Passage.java
+++ b/lib/data/src/main/java/craneway/data/requester/Passage.java
@@ -132,8 +132,15 @@
         if (status != 200 || !startOnce()) return;
         scan.accept(b, b.length);
         executor.progress(t.id());
-        if (wire.write(b)) call.took();
-        else executor.gone(t.id());
+        if (!wire.write(b)) executor.gone(t.id());
+        else if (scan.whole()) wholeCame();
+        else call.took();
+    }
+
+    private void wholeCame() {
+        executor.whole(t.id(), tryNo);
+        over = true;
+        wire.whole();
     }
 
     private boolean startOnce() {
@@ -146,13 +153,8 @@
 
     private void endCame() {
         if (status != 0 && status != 200) return;
-        if (!streaming || !scan.whole()) {
-            executor.broken(t.id(), tryNo);
-            return;
-        }
-        executor.whole(t.id(), tryNo);
-        over = true;
-        wire.whole();
+        if (streaming && scan.done()) wholeCame();
+        else executor.broken(t.id(), tryNo);
     }
 
     private void finish(Problem p, boolean cut) {
--- a/lib/link/src/main/java/craneway/link/process/DiskFolder.java
+++ b/lib/link/src/main/java/craneway/link/process/DiskFolder.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -15,11 +16,18 @@
 
 public final class DiskFolder implements Folder {
     private static final long RESERVE = 16L << 20;
+    private static final String LOCK = "lock";
 
     private final Path root;
     private final Map<String, FileChannel> open = new ConcurrentHashMap<>();
 
-    public DiskFolder(Path root) { this.root = root; }
+    private final FileLock lock;
+
+    public DiskFolder(Path root) {
+        this.root = root;
+        lock = guard(() -> FileChannel.open(root.resolve(LOCK), StandardOpenOption.WRITE, StandardOpenOption.CREATE).tryLock());
+        if (lock == null) throw new BadStartup(List.of("data folder " + root + " is in use by another process"));
+    }
 
     private interface Work<T> { T run() throws IOException; }
 
@@ -36,7 +44,7 @@
     public List<String> names() {
         return guard(() -> {
             try (var all = Files.list(root)) {
-                return all.map(p -> p.getFileName().toString()).filter(n -> !n.endsWith(".tmp")).sorted().toList();
+                return all.map(p -> p.getFileName().toString()).filter(n -> !n.endsWith(".tmp") && !n.equals(LOCK)).sorted().toList();
             }
         });
     }
@@ -96,6 +104,15 @@
         }
     }
 
+    public void release() {
+        guard(() -> {
+            for (var n : List.copyOf(open.keySet())) close(n);
+            lock.release();
+            lock.channel().close();
+            return null;
+        });
+    }
+
     private void close(String name) throws IOException {
         var c = open.remove(name);
         if (c != null) c.close();
--- a/lib/link/src/main/java/craneway/link/process/Host.java
+++ b/lib/link/src/main/java/craneway/link/process/Host.java
@@ -28,6 +28,7 @@
     private final Caller caller;
     private final Post post;
     private final List<Undertow> servers = new ArrayList<>();
+    private volatile boolean closed;
     private final ScheduledExecutorService ticks = Executors.newScheduledThreadPool(5, r -> new Thread(r, "tick"));
 
     public Host(EventLog log, int threads, LongSupplier core) {
@@ -77,7 +78,7 @@
             try {
                 each.run();
             } catch (RuntimeException e) {
-                log.internal(e);
+                if (!closed) log.internal(e);
             }
         }, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -85,6 +86,7 @@
     public void stopListening() { servers.forEach(Undertow::stop); }
 
     public void close() {
+        closed = true;
         ticks.shutdownNow();
         stopListening();
         worker.shutdownNow();
--- a/lib/link/src/main/java/craneway/link/process/StoreProcess.java
+++ b/lib/link/src/main/java/craneway/link/process/StoreProcess.java
@@ -15,14 +15,16 @@
     private static final int THREADS = 24;
     private static final long MANIFEST_BODY = 32L << 20, SMALL = 64 << 10, READINESS = 2_200_000, LAST_REPLIES = 500;
 
+    private final DiskFolder disk;
     private final Host host;
     private final Store store;
     private volatile boolean stopping;
 
     public StoreProcess(Startup s, EventLog log) {
+        disk = new DiskFolder(s.data);
         host = new Host(log, THREADS, () -> core());
         var self = new Node(s.name, Node.STORE, s.zone, s.partner, System.currentTimeMillis());
-        store = new Store(host, new DiskFolder(s.data), self, s.seeds, s.stores, new Random(new SecureRandom().nextLong()));
+        store = new Store(host, disk, self, s.seeds, s.stores, new Random(new SecureRandom().nextLong()));
         var operator = new Operator(host, store.asker());
         host.listen(s.partner, new PartnerDesk(this::core, store::receive, log), 80L << 20);
         host.listen(s.operator, new OperatorDesk(s.name, operator, () -> Metrics.of(store)), MANIFEST_BODY);
@@ -58,5 +60,8 @@
     }
 
     @Override
-    public void close() { host.close(); }
+    public void close() {
+        host.close();
+        disk.release();
+    }
 }
--- a/lib/state/src/main/java/craneway/state/disk/SegmentLog.java
+++ b/lib/state/src/main/java/craneway/state/disk/SegmentLog.java
@@ -72,7 +72,7 @@
     public void take(Image i) {
         var keep = new ArrayList<Entry>();
         if (termAt(i.index) == i.term) entries.stream().filter(e -> e.index > i.index).forEach(keep::add);
-        folder.replace(prefix + "image." + i.index, seal(i));
+        folder.replace(prefix + "image." + i.index, Seal.close(Codec.write(i)));
         var old = image;
         image = i;
         entries.clear();
@@ -154,12 +154,8 @@
 
     private Image open(long index) {
         var b = folder.read(prefix + "image." + index);
-        if (b == null || !view.wrap(ByteBuffer.wrap(b), 0).valid()) throw new DiskLost(prefix + "image." + index + ": damaged");
-        return Codec.read(Image.class, view.body());
-    }
-
-    private byte[] seal(Image i) {
-        return RecordView.make(RecordView.BASE, i.index, i.term, 0, Codec.write(i)).array();
+        if (b == null) throw new DiskLost(prefix + "image." + index + ": missing");
+        return Codec.read(Image.class, Seal.open(prefix + "image." + index, b));
     }
 
     private void dropOtherImages() {
--- a/prog/craneway/src/main/java/craneway/command/CranewayMain.java
+++ b/prog/craneway/src/main/java/craneway/command/CranewayMain.java
@@ -1,5 +1,6 @@
 package craneway.command;
 
+import craneway.command.drill.DrillCommand;
 import craneway.command.fleet.FleetCommand;
 import craneway.command.load.LoadCommand;
 import craneway.command.operator.IntentCommand;
@@ -7,6 +8,7 @@
 import craneway.command.operator.PlanCommand;
 import craneway.command.operator.StatusCommand;
 import craneway.command.operator.ZoneCommand;
+import craneway.command.replay.ReplayCommand;
 import craneway.link.process.EventLog;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -14,7 +16,7 @@
 @Command(name = "craneway", mixinStandardHelpOptions = true, version = "craneway 0.1.0",
     description = "Drives a craneway core: manifests, intents, plans, status, fleets and load.",
     subcommands = {ManifestCommand.class, IntentCommand.class, PlanCommand.class, ZoneCommand.class, StatusCommand.class,
-        FleetCommand.class, LoadCommand.class})
+        FleetCommand.class, LoadCommand.class, DrillCommand.class, ReplayCommand.class})
 public final class CranewayMain {
     public static void main(String[] args) { System.exit(run(args)); }
 
--- a/test/features/src/test/java/craneway/features/ProcessSteps.java
+++ b/test/features/src/test/java/craneway/features/ProcessSteps.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import craneway.command.CranewayMain;
-import craneway.standin.Checker;
+import craneway.drill.Checker;
 import craneway.standin.Faults;
 import craneway.standin.Fleet;
 import io.cucumber.datatable.DataTable;
@@ -10,9 +10,12 @@
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
+import io.undertow.util.Methods;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 public final class ProcessSteps {
@@ -93,6 +96,39 @@
         return n;
     }
 
+    @When("zone {word} is drilled with {int} streams")
+    public void drill(String zone, int streams) {
+        code = drilled(zone, streams);
+    }
+
+    private int drilled(String zone, int streams) {
+        return CranewayMain.run("drill", "--fleet", f.folder.toString(), "--zone", zone, "--service", "registry", "--work", "lookup:60,summary:30,extract:10:once",
+            "--streams", Integer.toString(streams), "--at-once", "12", "--report", f.folder.resolve("report.txt").toString());
+    }
+
+    @When("zone {word} is drilled with {int} streams while somebody sends work past the routers")
+    public void rogue(String zone, int streams) throws IOException {
+        var runner = f.names("runners").stream().filter(r -> f.map.get("runners").get(r).get("zone").asText().equals(zone)).findFirst().orElseThrow();
+        var address = f.map.get("runners").get(runner).get("address").asText();
+        var drill = CompletableFuture.supplyAsync(() -> drilled(zone, streams));
+        f.await("zone emptied", () -> f.marked("zone:" + zone));
+        f.await("the drill's end", () -> {
+            try {
+                f.call(address, Methods.POST, "/v1/chat/completions", Map.of(), "{\"max_tokens\":1,\"messages\":[{\"role\":\"user\",\"content\":\"submission=rogue key=\"}]}");
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return drill.isDone();
+        });
+        code = drill.join();
+    }
+
+    @Then("the drill ends with {int} and its report says {string}")
+    public void report(int want, String text) throws IOException {
+        var r = Files.readString(f.folder.resolve("report.txt"));
+        if (code != want || !r.contains(text)) throw new AssertionError("ended with " + code + ": " + r);
+    }
+
     @Then("status shows every part owned and 3 stores in each group")
     public void status() {
         f.await("all parts whole", () -> f.names("stores").stream().allMatch(f::votes));
--- a/test/features/src/test/java/craneway/features/SimSteps.java
+++ b/test/features/src/test/java/craneway/features/SimSteps.java
@@ -49,9 +49,15 @@
     private void act(Act a) {
         if (a.node.equals("seeds")) s.world.seeds(List.of(a.what.split(" ")));
         else if (a.node.startsWith("requester") && a.what.startsWith("submit")) submit(a.node, a.what.split(" "));
+        else if (a.what.startsWith("crowd")) crowd(a.node, Integer.parseInt(a.what.split(" ")[1]));
+        else if (a.what.startsWith("swing")) s.swing(Integer.parseInt(a.what.split(" ")[1]));
         else s.act(a.node, a.what);
     }
 
+    private void crowd(String node, int n) {
+        for (var i = 0; i < n; i++) ((RequesterMachine) s.world.machine(node)).submit(s.work());
+    }
+
     private void submit(String node, String[] p) {
         ((RequesterMachine) s.world.machine(node)).submit(new RequesterMachine.Work(p[2], p[1], p[1].equals("extract"), "", Integer.parseInt(p[4]), 20_000), p[3], 1);
     }
--- a/test/features/src/test/resources/features/processes.feature
+++ b/test/features/src/test/resources/features/processes.feature
@@ -28,3 +28,13 @@
       | 20        | kill-runner |
     Then the journals agree and every promise they show was kept
     And some stream was visibly cut
+
+  Scenario: The drill takes a zone out of a running fleet and back
+    Given a fleet of processes with 1 router in each zone and a runner in each cell
+    When zone split-1 is drilled with 2500 streams
+    Then the drill ends with 0 and its report says "every promise checked here was kept"
+
+  Scenario: The drill fails when the emptied zone gets work
+    Given a fleet of processes with 1 router in each zone and a runner in each cell
+    When zone split-1 is drilled with 2500 streams while somebody sends work past the routers
+    Then the drill ends with 1 and its report says "BROKEN promise 5"
--- a/test/sim/src/main/java/craneway/sim/Chaos.java
+++ b/test/sim/src/main/java/craneway/sim/Chaos.java
@@ -1,5 +1,7 @@
 package craneway.sim;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -135,29 +137,8 @@
     public static String example() {
         try (var in = Chaos.class.getResourceAsStream("/craneway/sim/maticar.json")) {
             return new String(in.readAllBytes());
-        } catch (java.io.IOException e) {
-            throw new java.io.UncheckedIOException(e);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
     }
-
-    public static void main(String[] args) {
-        var from = Long.parseLong(args[0]);
-        var to = Long.parseLong(args[1]);
-        var bad = 0;
-        if (args.length > 2) {
-            var r = run(from, example(), faults(from));
-            r.faults.forEach(f -> System.out.println(f.text()));
-            System.out.println(r.timeline);
-            System.out.println(r.wrong);
-            return;
-        }
-        for (var seed = from; seed < to; seed++) {
-            var r = run(seed, example(), faults(seed));
-            if (r.wrong.isEmpty()) continue;
-            bad++;
-            System.out.println("seed " + seed + ": " + r.wrong.size() + " wrong");
-            r.wrong.stream().limit(4).forEach(w -> System.out.println("    " + w));
-        }
-        System.out.println((to - from) + " seeds, " + bad + " bad");
-    }
 }
--- a/test/sim/src/main/java/craneway/sim/Scenario.java
+++ b/test/sim/src/main/java/craneway/sim/Scenario.java
@@ -16,6 +16,7 @@
     private final Random random;
     private long pause = 40_000;
     private boolean traffic;
+    private int swing = 20;
 
     public Scenario(long seed, String manifest, int routersEach, int slots) {
         world = new World(seed, manifest, routersEach, slots);
@@ -31,6 +32,8 @@
         for (var r : world.all(RequesterMachine.class)) next(r);
     }
 
+    public void swing(int tokens) { swing = tokens; }
+
     public void quiet() { traffic = false; }
 
     private void next(RequesterMachine r) {
@@ -46,7 +49,7 @@
         var kinds = world.manifest.services().get(world.service).work();
         var k = random.nextInt(10);
         var w = kinds.get(k < 5 ? 0 : k < 8 ? 1 % kinds.size() : 2 % kinds.size());
-        return new RequesterMachine.Work(tenant, w.name(), w.runOnce(), "", 3 + random.nextInt(20), 20_000);
+        return new RequesterMachine.Work(tenant, w.name(), w.runOnce(), "", 3 + random.nextInt(Math.max(1, swing)), 20_000);
     }
 
     public void runTo(double seconds) { world.sim.runUntil(start + (long) (seconds * SECOND)); }
--- a/test/standin/src/main/java/craneway/standin/CheckCommand.java
+++ b/test/standin/src/main/java/craneway/standin/CheckCommand.java
@@ -1,5 +1,6 @@
 package craneway.standin;
 
+import craneway.drill.Checker;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
--- a/test/standin/src/main/java/craneway/standin/Fleet.java
+++ b/test/standin/src/main/java/craneway/standin/Fleet.java
@@ -1,5 +1,6 @@
 package craneway.standin;
 
+import craneway.drill.Checker;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import craneway.command.CranewayMain;
@@ -165,6 +166,14 @@
         }
     }
 
+    public boolean marked(String mark) {
+        try {
+            return status().path("manifest").path("marks").has(mark);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     public boolean votes(String store) {
         try {
             var s = status();
--- a/test/standin/src/main/java/craneway/standin/Checker.java
+++ b/tool/drill/src/main/java/craneway/drill/Checker.java
@@ -1,4 +1,4 @@
-package craneway.standin;
+package craneway.drill;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
