folders.feature damages the first record, whatever the log holds

Cause: byte 30 lies in the second record; with only two records written before the store closed, its damage looks like a torn tail (a known gap) and the folder is kept. The first record always has another behind it, so damage there is always told as damage.

--- a/test/features/src/test/java/craneway/features/NearSteps.java
+++ b/test/features/src/test/java/craneway/features/NearSteps.java
@@ -109,7 +109,7 @@
                 case "junk" -> Files.writeString(f, "this is nobody's file");
                 case "missing" -> Files.delete(f);
                 case "flipped" -> {
-                    b[30] ^= 0x11;
+                    b[10] ^= 0x11;
                     Files.write(f, b);
                 }
                 default -> { }
