--- a/test/features/src/test/java/craneway/features/CheckerSteps.java
+++ b/test/features/src/test/java/craneway/features/CheckerSteps.java
@@ -8,6 +8,7 @@
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -100,13 +101,17 @@
             case "more extra runs than allowed" -> {
                 for (var i = 0; i < 60; i++) run("s1", "", "runner-a", "zagreb-1", 30 * S + i);
             }
+            case "a submission that lost its router in a planned restart" -> told("gone", "lost", 3 * S);
             case "a decline after nine tenths of the deadline" -> told("late", "declined", 3 * S).at = 22 * S;
             default -> throw new IllegalArgumentException(what);
         }
     }
 
     private List<String> wrong() {
-        return new Checks(j, Map.of("zagreb-1", "zagreb", "split-1", "split"), Map.of("office-zagreb-centre", List.of("zagreb")), 2).all();
+        var c = new Checks(j, Map.of("zagreb-1", "zagreb", "split-1", "split"), Map.of("office-zagreb-centre", List.of("zagreb")), 2);
+        var all = new ArrayList<>(c.all());
+        all.addAll(c.lost());
+        return all;
     }
 
     @Then("the checker finds {string}")
--- a/test/features/src/test/resources/features/checkers.feature
+++ b/test/features/src/test/resources/features/checkers.feature
@@ -22,6 +22,7 @@
       | 9  | work run outside its home regions               |
       | 10 | a cold runner with every slot in use            |
       | 11 | more extra runs than allowed                    |
+      | 12 | a submission that lost its router in a planned restart |
 
   Scenario: The untouched journal passes
     Given a journal in which everything was kept
