Synced records damaged later are told from a torn tail; a foreign core's logs set aside

Cause: the log held nothing that says how far it was synced, so a last record damaged at rest, or a file cut on a record's end, looked like a torn tail and a yes could be lost; and a core file of another core was taken with this core's logs. Ruled out: a second sync for each yes (doubles its cost); a mark record in the log itself (does not show a cut). Now: the synced length is jotted unsynced into pN.mark after each sync, and each segment names its core. Before: p2.log cut by a byte, or its last byte flipped: same store, yes lost; core file of another core: store stuck.

--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -80,7 +80,7 @@
         this.port = port;
         this.directory = directory;
         this.membership = membership;
-        this.group = new Group(part, self, folder, first, records, random, this, port.now());
+        this.group = new Group(part, self, directory.self().coreId, folder, first, records, random, this, port.now());
     }
 
     public void offer(Runnable event) {
--- a/lib/link/src/main/java/craneway/link/process/DiskFolder.java
+++ b/lib/link/src/main/java/craneway/link/process/DiskFolder.java
@@ -92,6 +92,19 @@
         });
     }
 
+    @Override
+    public void jot(String name, byte[] b) {
+        guard(() -> {
+            var c = open.get(name);
+            if (c == null) {
+                c = FileChannel.open(root.resolve(name), StandardOpenOption.WRITE, StandardOpenOption.CREATE);
+                open.put(name, c);
+            }
+            c.write(ByteBuffer.wrap(b), 0);
+            return null;
+        });
+    }
+
     @Override
     public void replace(String name, byte[] b) {
         guard(() -> {
--- a/lib/state/src/main/java/craneway/state/disk/Folder.java
+++ b/lib/state/src/main/java/craneway/state/disk/Folder.java
@@ -7,6 +7,7 @@
     byte[] read(String name);
     void append(String name, byte[] b, int len);
     void sync(String name);
+    void jot(String name, byte[] b);
     void replace(String name, byte[] b);
     void delete(String name);
 }
--- a/lib/state/src/main/java/craneway/state/disk/SegmentLog.java
+++ b/lib/state/src/main/java/craneway/state/disk/SegmentLog.java
@@ -14,6 +14,7 @@
 
     private final Folder folder;
     private final String prefix;
+    private final int core;
     private final RecordView view = new RecordView();
     private final List<Entry> entries = new ArrayList<>();
     private Image image;
@@ -23,9 +24,10 @@
     private long size;
     private boolean dirty;
 
-    public SegmentLog(Folder folder, String prefix) {
+    public SegmentLog(Folder folder, String prefix, int core) {
         this.folder = folder;
         this.prefix = prefix;
+        this.core = core;
         load();
         restate();
     }
@@ -67,6 +69,17 @@
         if (!dirty) return;
         folder.sync(file(segment));
         dirty = false;
+        mark();
+    }
+
+    private void mark() { folder.jot(prefix + "mark", Seal.close(ByteBuffer.allocate(12).putInt(segment).putLong(size).array())); }
+
+    private long markOf(int n) {
+        var b = folder.read(prefix + "mark");
+        var v = new RecordView();
+        if (b == null || !v.wrap(ByteBuffer.wrap(b), 0).valid()) return -1;
+        var m = ByteBuffer.wrap(v.body());
+        return m.getInt() == n ? m.getLong() : -1;
     }
 
     public void take(Image i) {
@@ -98,7 +111,7 @@
         var old = segments();
         segment = old.isEmpty() ? 1 : old.get(old.size() - 1) + 1;
         var all = new ArrayList<ByteBuffer>();
-        all.add(RecordView.make(RecordView.BASE, image == null ? 0 : image.index, image == null ? 0 : image.term, 0, NONE));
+        all.add(RecordView.make(RecordView.BASE, image == null ? 0 : image.index, image == null ? 0 : image.term, core, NONE));
         all.add(RecordView.make(RecordView.HARD, vote, term, 0, NONE));
         for (var e : entries) all.add(RecordView.make(RecordView.ENTRY, e.index, e.term, e.type, e.body));
         var whole = ByteBuffer.allocate(all.stream().mapToInt(ByteBuffer::capacity).sum());
@@ -106,6 +119,7 @@
         folder.replace(file(segment), whole.array());
         size = whole.capacity();
         dirty = false;
+        mark();
         old.forEach(n -> folder.delete(file(n)));
     }
 
@@ -122,8 +136,10 @@
             replay();
             at += view.size();
         }
-        if (at < b.limit() && (!newest || validAfter(b, at + 1)))
-            throw new DiskLost(file(n) + ": damaged at byte " + at + " of " + b.limit());
+        var synced = markOf(n);
+        if (b.limit() < synced) throw new DiskLost(file(n) + ": " + b.limit() + " bytes are left of " + synced + " that were synced");
+        var torn = newest && (synced >= 0 ? at >= synced : !validAfter(b, at + 1));
+        if (at < b.limit() && !torn) throw new DiskLost(file(n) + ": damaged at byte " + at + " of " + b.limit());
     }
 
     private boolean validAfter(ByteBuffer b, int from) {
@@ -147,6 +163,7 @@
     }
 
     private void base(long index, long imageTerm) {
+        if (view.sub() != core) throw new DiskLost(prefix + "log: belongs to another core");
         entries.clear();
         image = index == 0 ? null : open(index);
         if (image != null && image.term != imageTerm) throw new DiskLost(prefix + "image." + index + ": wrong term");
--- a/lib/state/src/main/java/craneway/state/part/Group.java
+++ b/lib/state/src/main/java/craneway/state/part/Group.java
@@ -30,6 +30,7 @@
 
     private final int part;
     private final long self;
+    private final long core;
     private final Folder folder;
     private final Machine machine;
     private final Random random;
@@ -53,9 +54,10 @@
     private long handingTo;
     private boolean readySaid;
 
-    public Group(int part, long self, Folder folder, Members first, Machine machine, Random random, Outlet out, long now) {
+    public Group(int part, long self, long core, Folder folder, Members first, Machine machine, Random random, Outlet out, long now) {
         this.part = part;
         this.self = self;
+        this.core = core;
         this.folder = folder;
         this.first = first;
         this.machine = machine;
@@ -88,7 +90,7 @@
     }
 
     private void open(long now) {
-        log = new SegmentLog(folder, "p" + part + ".");
+        log = new SegmentLog(folder, "p" + part + ".", Long.hashCode(core));
         pending.clear();
         owner = 0;
         heardOwner = now;
--- a/prog/craneway/src/main/java/craneway/command/replay/ReplayCommand.java
+++ b/prog/craneway/src/main/java/craneway/command/replay/ReplayCommand.java
@@ -49,7 +49,11 @@
         synchronized (worst) {
             r.checks().worst.forEach((k, v) -> worst.merge(k, v, Math::max));
             if (r.wrong().isEmpty()) return false;
+        }
+        var least = Chaos.shortest(s, Chaos.example(), r.faults());
+        synchronized (worst) {
             System.out.println("seed " + s + ": " + r.wrong().subList(0, Math.min(3, r.wrong().size())));
+            least.forEach(f -> System.out.println("  shortest schedule: " + f.text()));
         }
         return true;
     }
--- a/test/features/src/test/java/craneway/features/NearSteps.java
+++ b/test/features/src/test/java/craneway/features/NearSteps.java
@@ -12,6 +12,9 @@
 import craneway.link.process.StoreProcess;
 import craneway.router.RouterMain;
 import craneway.standin.StandinRunner;
+import craneway.state.disk.Seal;
+import craneway.state.message.Codec;
+import craneway.state.message.Messages;
 import craneway.store.StoreMain;
 import io.cucumber.datatable.DataTable;
 import io.cucumber.java.After;
@@ -28,6 +31,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
@@ -84,7 +88,15 @@
             "platform", at.get("store-platform"), "seeds", seeds, "data", folder.resolve("data").toString(), "stores", "1"), Startup.STORE), new EventLog("store-1"));
     }
 
-    @When("a store starts again on a folder whose {word} is {word}")
+    private static byte[] foreignCore() {
+        var f = new Messages.Founding();
+        f.coreId = 77;
+        f.stores = new long[] {5};
+        f.zones = new String[] {"zagreb-1"};
+        return Seal.close(Codec.write(f));
+    }
+
+    @When("^a store starts again on a folder whose (\\S+) is (.+)$")
     public void again(String file, String how) throws IOException {
         folder = Files.createTempDirectory("craneway");
         worker = Xnio.getInstance().createWorker(OptionMap.EMPTY);
@@ -108,6 +120,13 @@
                 case "truncated" -> Files.write(f, Arrays.copyOf(b, b.length / 2));
                 case "junk" -> Files.writeString(f, "this is nobody's file");
                 case "missing" -> Files.delete(f);
+                case "foreign" -> Files.write(f, foreignCore());
+                case "torn" -> Files.write(f, "half a rec".getBytes(), StandardOpenOption.APPEND);
+                case "cut" -> Files.write(f, Arrays.copyOf(b, b.length - 1));
+                case "end flipped" -> {
+                    b[b.length - 1] ^= 0x11;
+                    Files.write(f, b);
+                }
                 case "flipped" -> {
                     b[10] ^= 0x11;
                     Files.write(f, b);
--- a/test/sim/src/main/java/craneway/sim/Disk.java
+++ b/test/sim/src/main/java/craneway/sim/Disk.java
@@ -13,6 +13,7 @@
     private static final class Pages {
         final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         int synced;
+        byte[] before;
     }
 
     private final Map<String, Pages> files = new TreeMap<>();
@@ -27,6 +28,12 @@
 
     public void losePower(Random r) {
         for (var p : files.values()) {
+            if (p.before != null && r.nextBoolean()) {
+                p.bytes.reset();
+                p.bytes.writeBytes(p.before);
+                p.synced = p.bytes.size();
+            }
+            p.before = null;
             var all = p.bytes.toByteArray();
             var keep = p.synced + (all.length > p.synced ? r.nextInt(all.length - p.synced + 1) : 0);
             p.bytes.reset();
@@ -71,6 +78,17 @@
         if (p != null && !liesAboutSync) p.synced = p.bytes.size();
     }
 
+    @Override
+    public void jot(String name, byte[] b) {
+        if (full) throw new DiskProblem(true, "the disk is full");
+        var p = new Pages();
+        var had = files.get(name);
+        p.before = had == null ? null : had.before != null ? had.before : had.bytes.toByteArray();
+        p.bytes.writeBytes(b);
+        p.synced = b.length;
+        files.put(name, p);
+    }
+
     @Override
     public void replace(String name, byte[] b) {
         if (full && b.length > 1 << 20) throw new DiskProblem(true, "the disk is full");
