--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -581,7 +581,7 @@
     }
 
     private void spreadOwners(long now) {
-        if (now - owningSince < SETTLED) return;
+        if (now - owningSince < SETTLED || wanting != null && now - wanting.at < REPLACE) return;
         var m = group.members();
         var order = m.voters.clone();
         Arrays.sort(order);
--- a/lib/link/src/main/java/craneway/link/process/Metrics.java
+++ b/lib/link/src/main/java/craneway/link/process/Metrics.java
@@ -2,37 +2,43 @@
 
 import craneway.control.store.Store;
 import craneway.data.router.Router;
+import java.util.TreeMap;
 
 final class Metrics {
+    private static final String MANIFEST = "version of the manifest in force on this node";
+
     private Metrics() { }
 
     static String of(Router r) {
         var c = r.executor().counts();
-        var b = new StringBuilder();
-        line(b, "transactions_taken_total", c.taken.get());
-        line(b, "transactions_forwarded_in_total", c.forwardedIn.get());
-        line(b, "transactions_forwarded_out_total", c.forwardedOut.get());
-        line(b, "transactions_buffered_total", c.buffered.get());
-        line(b, "runner_dispatches_total", c.dispatched.get());
-        line(b, "extra_tries_total", c.extraTries.get());
-        line(b, "streams_whole_total", c.whole.get());
-        line(b, "streams_cut_total", c.cut.get());
-        line(b, "transactions_open", r.executor().open());
-        c.verdicts().forEach((k, v) -> line(b, "verdicts_total{kind=\"" + k.toLowerCase() + "\"}", v));
-        line(b, "manifest_version", r.membership().view().topic().version);
-        r.membership().view().services().values().forEach(s -> line(b, "table_version{service=\"" + s.name + "\"}", s.tableVersion));
-        return b.toString();
+        var verdicts = new TreeMap<String, Long>();
+        c.verdicts().forEach((k, v) -> verdicts.put(k.toLowerCase(), v));
+        var tables = new TreeMap<String, Long>();
+        r.membership().view().services().values().forEach(s -> tables.put(s.name, s.tableVersion));
+        return new Snapshots()
+            .counter("transactions_taken", "transactions taken, forwarded ones included", c.taken.get())
+            .counter("transactions_forwarded_in", "of these, forwarded by another router", c.forwardedIn.get())
+            .counter("transactions_forwarded_out", "transactions forwarded to a router of the home region", c.forwardedOut.get())
+            .counter("transactions_buffered", "times a transaction waited in the buffer", c.buffered.get())
+            .counter("runner_dispatches", "streams asked of runners", c.dispatched.get())
+            .counter("extra_tries", "tries beyond the first", c.extraTries.get())
+            .counter("streams_whole", "streams passed on to their end", c.whole.get())
+            .counter("streams_cut", "streams visibly cut", c.cut.get())
+            .gauge("transactions_open", "transactions in this router now", r.executor().open())
+            .counters("verdicts", "verdicts told, by kind", "kind", verdicts)
+            .gauge("manifest_version", MANIFEST, r.membership().view().topic().version)
+            .gauges("table_version", "version of a service's table on this node", "service", tables).text();
     }
 
     static String of(Store s) {
-        var b = new StringBuilder();
-        line(b, "manifest_version", s.membership().view().topic().version);
+        var owned = new TreeMap<String, Long>();
+        var applied = new TreeMap<String, Long>();
         for (var k : s.keepers()) {
-            line(b, "part_owned{part=\"" + k.group().part() + "\"}", k.owns() ? 1 : 0);
-            line(b, "part_applied{part=\"" + k.group().part() + "\"}", k.group().applied());
+            owned.put(Integer.toString(k.group().part()), k.owns() ? 1L : 0L);
+            applied.put(Integer.toString(k.group().part()), k.group().applied());
         }
-        return b.toString();
+        return new Snapshots().gauge("manifest_version", MANIFEST, s.membership().view().topic().version)
+            .gauges("part_owned", "1 if this store owns the part", "part", owned)
+            .gauges("part_applied", "last log entry applied", "part", applied).text();
     }
-
-    private static void line(StringBuilder b, String name, long v) { b.append("craneway_").append(name).append(' ').append(v).append('\n'); }
 }
--- a/prog/craneway/src/main/java/craneway/command/load/Ratios.java
+++ b/prog/craneway/src/main/java/craneway/command/load/Ratios.java
@@ -26,7 +26,7 @@
     }
 
     private static long value(String text, String name) {
-        return text.lines().filter(l -> l.startsWith(name + " ")).mapToLong(l -> Long.parseLong(l.substring(name.length() + 1).trim())).sum();
+        return text.lines().filter(l -> l.startsWith(name + " ")).mapToLong(l -> (long) Double.parseDouble(l.substring(name.length() + 1).trim())).sum();
     }
 
     void print(PrintStream o, Ratios later) {
--- a/test/features/src/test/java/craneway/features/NearSteps.java
+++ b/test/features/src/test/java/craneway/features/NearSteps.java
@@ -350,6 +350,17 @@
         if (!status().get("manifest").get("version").asText().equals("2")) throw new AssertionError("wrong manifest");
     }
 
+    @When("the metrics of router and store are read")
+    public void metrics() throws IOException {
+        said = "";
+        for (var who : List.of("operator", "store-operator")) said += Reply.of(caller, at.get(who), new HttpString("GET"), "/metrics", Map.of(), new byte[0], 5_000).text();
+    }
+
+    @Then("they hold {string} and {string} and {string}")
+    public void hold(String a, String b, String c) {
+        for (var t : List.of(a, b, c)) if (!said.contains(t)) throw new AssertionError(t + " is not in " + said);
+    }
+
     @Then("the export holds {int} whole rows of {int} token and {int} quota_spent rows of tenant {word} in {word}")
     public void exported(int whole, int tokens, int spent, String tenant, String region) throws IOException {
         var count = new HashMap<String, Integer>();
--- a/test/features/src/test/resources/features/bad-input.feature
+++ b/test/features/src/test/resources/features/bad-input.feature
@@ -74,6 +74,12 @@
     When a tenant with a quota of 5 submits 8 lookups
     Then 5 are served and 3 declined as spent, with when to come back
 
+  Scenario: Metrics are in the usual text format
+    Given a store, a router and a runner in this process
+    When run-once work "m1" is submitted
+    And the metrics of router and store are read
+    Then they hold "craneway_streams_whole_total 1" and "# TYPE craneway_streams_whole_total counter" and "craneway_part_owned{part="
+
   Scenario: Usage is exported and read back
     Given a store, a router and a runner in this process
     When a tenant with a quota of 5 submits 8 lookups
--- a/test/features/src/test/resources/features/faults.feature
+++ b/test/features/src/test/resources/features/faults.feature
@@ -235,6 +235,7 @@
     Then seeds 1 to 24 of random faults on the maticar fleet keep every promise
     And seeds 3373 to 3373 of random faults on the maticar fleet keep every promise
     And seeds 2061 to 2061 of random faults on the maticar fleet keep every promise
+    And seeds 5087 to 5087 of random faults on the brannock fleet keep every promise
     And seeds 3288 to 3288 of random faults on the brannock fleet keep every promise
     And seeds 1 to 16 of random faults on the brannock fleet keep every promise
 
