Near tests take ports below the range of outgoing connections

Ruled out: a server left over from the scenario before (each closes its own). Now ports come one after the other from below the ephemeral range, each tried once.

--- a/test/features/src/test/java/craneway/features/NearSteps.java
+++ b/test/features/src/test/java/craneway/features/NearSteps.java
@@ -25,6 +25,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -36,6 +37,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.apache.commons.csv.CSVFormat;
@@ -61,9 +63,16 @@
     private long id;
     private int thinking = 300;
 
+    private static final AtomicInteger PORT = new AtomicInteger(27_000);
+
     private static String free() throws IOException {
-        try (var s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return "127.0.0.1:" + s.getLocalPort();
+        while (true) {
+            var p = PORT.getAndIncrement();
+            try (var s = new ServerSocket(p, 1, InetAddress.getByName("127.0.0.1"))) {
+                return "127.0.0.1:" + s.getLocalPort();
+            } catch (BindException e) {
+                if (p > 31_000) throw e;
+            }
         }
     }
 
