Manifest: routes, engines and limits; a manifest may bring its own number and source

Cause: the users' platform sends whole configurations with routes. Change: routes by host and longest prefix, engine of a service, limits; ManifestPut may carry number and source.

--- a/lib/model/src/main/java/craneway/model/manifest/Manifest.java
+++ b/lib/model/src/main/java/craneway/model/manifest/Manifest.java
@@ -7,8 +7,10 @@
     public record Zone(String name, String region) { }
     public record Cell(String name, String zone, int weight) { }
     public record Work(String name, boolean runOnce) { }
+    public record Engine(String healthPath, int connections, long cold, double coldPerSecond, int slots, long cacheTokens) { }
+    public record Limits(int headerBytes, int bodyBytes, long header, long idle) { }
     public record Service(String name, List<Work> work, List<Cell> cells, int buffer, int bodyLimit,
-                          long deadline, long stepPause, int stepUnits, long warmUp) {
+                          long deadline, long stepPause, int stepUnits, long warmUp, Engine engine) {
         public Work work(String n) {
             return work.stream().filter(w -> w.name().equals(n)).findFirst().orElse(null);
         }
@@ -23,16 +25,20 @@
     private final Map<String, Zone> zones;
     private final Map<String, Service> services;
     private final Map<String, Tenant> tenants;
+    private final Routes routes;
+    private final Limits limits;
     private final long lapsedGrace;
     private final long claimRetention;
 
     Manifest(String name, List<String> regions, Map<String, Zone> zones, Map<String, Service> services,
-             Map<String, Tenant> tenants, long lapsedGrace, long claimRetention) {
+             Map<String, Tenant> tenants, Routes routes, Limits limits, long lapsedGrace, long claimRetention) {
         this.name = name;
         this.regions = regions;
         this.zones = zones;
         this.services = services;
         this.tenants = tenants;
+        this.routes = routes;
+        this.limits = limits;
         this.lapsedGrace = lapsedGrace;
         this.claimRetention = claimRetention;
     }
@@ -44,6 +50,8 @@
     public Service service(String n) { return services.get(n); }
     public Tenant tenant(String n) { return tenants.get(n); }
     public Map<String, Tenant> tenants() { return tenants; }
+    public Routes routes() { return routes; }
+    public Limits limits() { return limits; }
     public long lapsedGrace() { return lapsedGrace; }
     public long claimRetention() { return claimRetention; }
 
--- a/lib/model/src/main/java/craneway/model/manifest/ManifestReader.java
+++ b/lib/model/src/main/java/craneway/model/manifest/ManifestReader.java
@@ -37,6 +37,11 @@
         }
     }
 
+    /** Reads a text that a store has checked already; skips the schema. */
+    public static Either<Problem, Manifest> readChecked(String text) {
+        return parse(text).flatMap(ManifestReader::means);
+    }
+
     public static Either<Problem, Manifest> read(String text) {
         return parse(text).flatMap(ManifestReader::fits).flatMap(ManifestReader::means);
     }
@@ -67,8 +72,9 @@
         }
         var services = services(n, zones, wrong);
         var tenants = tenants(n, regions, wrong);
-        if (!wrong.isEmpty()) return bad(String.join("; ", wrong));
-        return Either.right(new Manifest(n.get("name").asText(), regions, zones, services, tenants,
+        var routes = RouteReader.routes(n, regions, services.keySet(), wrong);
+        if (!wrong.isEmpty()) return bad(wrong.stream().limit(20).collect(Collectors.joining("; ")));
+        return Either.right(new Manifest(n.get("name").asText(), regions, zones, services, tenants, routes, RouteReader.limits(n),
             us(n, "lapsedGraceMs", 30_000), us(n, "claimRetentionMs", 86_400_000)));
     }
 
@@ -92,7 +98,7 @@
                 wrong.add("service " + name + ": a kind of work stands twice");
             var service = new Manifest.Service(name, work, cells, s.path("buffer").asInt(64),
                 s.path("bodyLimit").asInt(262_144), us(s, "deadlineMs", 60_000), us(s, "stepPauseMs", 100),
-                s.path("stepUnits").asInt(25), us(s, "warmUpMs", 5_000));
+                s.path("stepUnits").asInt(25), us(s, "warmUpMs", 5_000), RouteReader.engine(s));
             if (all.put(name, service) != null) wrong.add("service " + name + " stands twice");
         }
         return all;
@@ -109,13 +115,13 @@
         return all;
     }
 
-    private static List<String> names(JsonNode n) {
+    static List<String> names(JsonNode n) {
         var all = new ArrayList<String>();
         n.forEach(x -> all.add(x.asText()));
         return all;
     }
 
-    private static long us(JsonNode n, String field, long def) { return n.path(field).asLong(def) * 1000; }
+    static long us(JsonNode n, String field, long def) { return n.path(field).asLong(def) * 1000; }
 
     private static <T> Either<Problem, T> bad(String detail) {
         return Either.left(Problem.of(Kind.BAD_MANIFEST, detail));
--- /dev/null
+++ b/lib/model/src/main/java/craneway/model/manifest/Routes.java
@@ -0,0 +1,34 @@
+package craneway.model.manifest;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** Finds the route of a host with the longest prefix of a path; prefixes begin and end with a slash. */
+public final class Routes {
+    private final Map<String, Map<String, Route>> hosts = new HashMap<>();
+    private final int count;
+
+    public Routes(Collection<Route> all) {
+        for (var r : all) hosts.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new HashMap<>()).put(r.prefix(), r);
+        count = all.size();
+    }
+
+    public int count() { return count; }
+
+    public Collection<Map<String, Route>> all() { return hosts.values(); }
+
+    public Route match(String host, String path) {
+        if (host == null) return null;
+        var at = host.lastIndexOf(':');
+        var h = hosts.get((at > 0 ? host.substring(0, at) : host).toLowerCase(Locale.ROOT));
+        if (h == null) return null;
+        for (var i = path.lastIndexOf('/'); i >= 0; i = path.lastIndexOf('/', i - 1)) {
+            var r = h.get(path.substring(0, i + 1));
+            if (r != null) return r;
+            if (i == 0) break;
+        }
+        return null;
+    }
+}
--- a/lib/state/src/main/java/craneway/state/message/Commands.java
+++ b/lib/state/src/main/java/craneway/state/message/Commands.java
@@ -12,7 +12,14 @@
 
     public static final class MemberGone { public String name; public long incarnation; }
 
-    public static final class ManifestPut { public long base; public String text; }
+    public static final class ManifestPut {
+        public long base;
+        public String text;
+        /** The number its sender gave it; 0: the next one. */
+        public long number;
+        /** The text as it was sent, where that differs; kept to be read back. */
+        public String source = "";
+    }
 
     public static final class ServiceSync {
         public String service;
--- a/lib/state/src/main/java/craneway/state/record/Records.java
+++ b/lib/state/src/main/java/craneway/state/record/Records.java
@@ -1,6 +1,7 @@
 package craneway.state.record;
 
 import craneway.model.problem.Kind;
+import craneway.model.unit.Hash;
 import craneway.model.unit.Table;
 import craneway.model.unit.Units;
 import craneway.state.message.Codec;
@@ -15,6 +16,7 @@
 
 public final class Records implements Machine {
     private static final long MINUTE = 60_000_000, REBUILT = 1_000;
+    private static final int REMEMBERED = 2_000;
 
     private final Map<Class<?>, Function<Object, AskVerdict>> rules = new HashMap<>();
     private Rows.Whole rows = new Rows.Whole();
@@ -100,6 +102,7 @@
 
     private AskVerdict manifestPut(Commands.ManifestPut c) {
         var m = rows.manifest;
+        if (c.number > 0) return numbered(c, m);
         if (c.base == m.version - 1 && c.text.equals(m.text)) return taken(m);
         if (c.base != m.version)
             return no(Kind.RACE_LOST, "written against version " + c.base + ", in force is version " + m.version);
@@ -109,6 +112,22 @@
         return taken(m);
     }
 
+    private AskVerdict numbered(Commands.ManifestPut c, Rows.Manifest m) {
+        var print = Hash.of(Hash.of(c.source), c.base);
+        var old = m.taken.get(c.number);
+        if (old != null && old == print) return taken(m);
+        if (c.base != m.version)
+            return no(Kind.RACE_LOST, "written against version " + c.base + ", in force is version " + m.version);
+        if (c.number <= m.version) return no(Kind.BAD_MANIFEST, "version " + c.number + " is not above " + m.version);
+        m.version = c.number;
+        m.text = c.text;
+        m.source = c.source;
+        m.topicVersion = rows.index;
+        m.taken.put(c.number, print);
+        while (m.taken.size() > REMEMBERED) m.taken.pollFirstEntry();
+        return taken(m);
+    }
+
     private static AskVerdict taken(Rows.Manifest m) {
         var v = versioned(m.topicVersion);
         v.detail = Long.toString(m.version);
--- a/lib/state/src/main/java/craneway/state/record/Rows.java
+++ b/lib/state/src/main/java/craneway/state/record/Rows.java
@@ -101,6 +101,8 @@
         public long topicVersion;
         public long marksVersion;
         public String text = "";
+        public String source = "";
+        public TreeMap<Long, Long> taken = new TreeMap<>();
         public TreeMap<String, String> marks = new TreeMap<>();
     }
 
