--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/placement/Placer.java
@@ -0,0 +1,124 @@
+package craneway.data.placement;
+
+import craneway.model.manifest.Route;
+import craneway.model.unit.Rendezvous;
+import craneway.model.unit.Table;
+import craneway.model.unit.Units;
+import craneway.state.record.Rows;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Decides which runner takes a request: the unit's home by the table, and within it the runner that reads the prompt soonest.
+ * A unit is (region set, slice of the prompt's last shared part); the set is first the region where the request arrived.
+ */
+public final class Placer {
+    /** Costs are microseconds. */
+    public record Choice(Runner runner, int read, long cost) { }
+
+    private static final double READ = 1_000 / 38.0;
+    private static final long ZONE = 15_000, REGION = 110_000, RUNNING = 250, COLD = 400_000, SUSPECT = 5_000_000, STRANGER = 60_000, BROKE = 300_000;
+
+    private final Pool pool;
+    private final ColdShare cold;
+    private final String zone;
+    private final String region;
+
+    public Placer(Pool pool, ColdShare cold, String zone, String region) {
+        this.pool = pool;
+        this.cold = cold;
+        this.zone = zone;
+        this.region = region;
+    }
+
+    /** Null where no runner may take it now. */
+    public Choice choose(Route route, String service, Prompt p, Set<String> tried, long now) {
+        var home = home(route, service, p);
+        Choice best = null;
+        var favourite = favourite(route, service, p, home);
+        for (var r : pool.of(service)) {
+            if (!allowed(route, r) || tried.contains(r.id())) continue;
+            if (r.cold(now) && !cold.may(r.id(), coldRate(service), pool.routers(), now)) continue;
+            if (!r.mayProbe(now)) continue;
+            var c = cost(r, p, r == favourite, home == null || r.zone.equals(home), now);
+            if (best == null || c.cost() < best.cost()) best = c;
+        }
+        return best;
+    }
+
+    private double coldRate(String service) {
+        var s = pool.view().manifest().service(service);
+        return s == null ? 0 : s.engine().coldPerSecond();
+    }
+
+    private boolean allowed(Route route, Runner r) {
+        return r.row.up() && !r.stale && !pool.emptied(r.zone) && (route.regions().isEmpty() || route.regions().contains(r.region));
+    }
+
+    /** The zone where the unit is at home, or null. */
+    String home(Route route, String service, Prompt p) {
+        var s = pool.view().services().get(service);
+        if (s == null) return null;
+        var near = s.regions.indexOf(region);
+        if (near >= 0 && (route.regions().isEmpty() || route.regions().contains(region))) {
+            var h = zoneOf(s, 1 << near, p);
+            if (h != null) return h;
+        }
+        return zoneOf(s, set(s, route.regions()), p);
+    }
+
+    private static int set(Rows.Service s, List<String> regions) {
+        var set = 0;
+        for (var i = 0; i < s.regions.size(); i++) if (regions.isEmpty() || regions.contains(s.regions.get(i))) set |= 1 << i;
+        return set;
+    }
+
+    private static String zoneOf(Rows.Service s, int set, Prompt p) {
+        var unit = set * Units.SLICES + p.slice();
+        var cell = unit < s.homes.length ? s.homes[unit] : Table.NOWHERE;
+        return cell == Table.NOWHERE ? null : s.zones.get(cell);
+    }
+
+    private Runner favourite(Route route, String service, Prompt p, String home) {
+        Runner best = null;
+        var most = 0L;
+        for (var r : pool.of(service)) {
+            if (!allowed(route, r) || home != null && !r.zone.equals(home)) continue;
+            var w = Rendezvous.weight(p.key(), r.id());
+            if (best == null || Long.compareUnsigned(w, most) > 0) {
+                best = r;
+                most = w;
+            }
+        }
+        return best;
+    }
+
+    private Choice cost(Runner r, Prompt p, boolean favourite, boolean home, long now) {
+        var missing = r.missing(p);
+        var read = r.own(p) + missing;
+        var c = (long) (READ * (r.own(p) + (favourite ? missing / 3 : missing) + r.reading()));
+        c += RUNNING * r.load(now) + (favourite ? 0 : STRANGER / 4);
+        if (!r.zone.equals(zone)) c += r.region.equals(region) ? ZONE : REGION;
+        if (!home) c += STRANGER;
+        if (r.crowded(now)) c += 1_000_000;
+        if (r.waiting(now) > 0) c += 50_000L * r.waiting(now);
+        if (r.cold(now)) c += COLD;
+        if (r.suspected(now)) c += SUSPECT;
+        if (r.brokeLately(now)) c += BROKE;
+        return new Choice(r, read, c);
+    }
+
+    public void started(Choice c, Prompt p, long now) {
+        c.runner().started(p, c.read());
+        c.runner().probed(now);
+        if (c.runner().cold(now)) cold.sent(c.runner().id(), now);
+    }
+
+    /** The first token came: what was to be read is read. */
+    public void read(Choice c) { c.runner().read(c.read()); }
+
+    public void ended(Choice c, Prompt p) { c.runner().ended(p); }
+
+    public Collection<String> routers() { return pool.routers(); }
+}
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/placement/Pool.java
@@ -0,0 +1,76 @@
+package craneway.data.placement;
+
+import craneway.control.node.Membership;
+import craneway.model.manifest.Manifest;
+import craneway.model.unit.Parts;
+import craneway.state.message.Plan;
+import craneway.state.record.Rows;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The runners as the newest view names them; lives that the view drops are forgotten. Not thread-safe: one thread asks. */
+public final class Pool {
+    private final Map<String, Runner> runners = new HashMap<>();
+    private Map<String, List<Runner>> services = Map.of();
+    private Set<String> emptied = Set.of();
+    private Membership.View view;
+    private List<String> routers = List.of();
+
+    public boolean follow(Membership.View v) {
+        if (v == view) return false;
+        view = v;
+        if (v.manifest() == null) return true;
+        var all = new HashMap<String, List<Runner>>();
+        var ids = new HashSet<String>();
+        for (var s : v.services().values()) {
+            var m = v.manifest().service(s.name);
+            if (m == null) continue;
+            var list = new ArrayList<Runner>();
+            for (var row : s.runners.values()) {
+                ids.add(row.name);
+                list.add(met(s, row, m.engine()));
+            }
+            all.put(s.name, list);
+        }
+        runners.keySet().retainAll(ids);
+        services = all;
+        emptied = emptied(v.topic().marks);
+        routers = routers(v);
+        return true;
+    }
+
+    private Runner met(Rows.Service s, Rows.Runner row, Manifest.Engine e) {
+        var r = runners.get(row.name);
+        if (r == null) {
+            var at = s.cells.indexOf(row.cell);
+            r = new Runner(s.name, at < 0 ? "" : s.cellRegions.get(at), at < 0 ? row.cell : s.zones.get(at), row, Math.max(1, row.slots), e.cacheTokens());
+            runners.put(row.name, r);
+        }
+        r.row = row;
+        r.slots = Math.max(1, row.slots);
+        return r;
+    }
+
+    private static Set<String> emptied(Map<String, String> marks) {
+        var all = new HashSet<String>();
+        marks.forEach((k, v) -> { if (v.equals(Plan.EMPTIED) && k.startsWith("zone:")) all.add(k.substring(5)); });
+        return all;
+    }
+
+    private static List<String> routers(Membership.View v) {
+        var all = new ArrayList<String>();
+        for (var n : v.members().get(Parts.MANIFEST)) if (n.isRouter() && n.serving) all.add(n.name);
+        return all;
+    }
+
+    public Membership.View view() { return view; }
+    public Collection<String> routers() { return routers; }
+    public Collection<Runner> all() { return runners.values(); }
+    public List<Runner> of(String service) { return services.getOrDefault(service, List.of()); }
+    public boolean emptied(String zone) { return emptied.contains(zone); }
+}
--- /dev/null
+++ b/lib/data/src/main/java/craneway/data/placement/Runner.java
@@ -0,0 +1,131 @@
+package craneway.data.placement;
+
+import craneway.state.record.Rows;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** What one router knows of one life of a runner. Times are microseconds of the steady clock. */
+public final class Runner {
+    private static final long REPORT_FRESH = 2_000_000, QUIET = 2_500_000;
+
+    public final String service;
+    public final String zone;
+    public final String region;
+    Rows.Runner row;
+    int slots;
+    private final long cacheTokens;
+    private final Map<Long, Integer> kept = new LinkedHashMap<>(64, 0.75f, true);
+    private long keptTokens;
+    private int running;
+    private long reading;
+    private long held;
+    private int othersRunning;
+    private int othersWaiting;
+    private long reportedAt = Long.MIN_VALUE / 2;
+    private long heard = Long.MIN_VALUE / 2;
+    private long suspectSince = Long.MIN_VALUE;
+    private long suspectUntil = Long.MIN_VALUE / 2;
+    private long probed = Long.MIN_VALUE / 2;
+    long coldUntil = Long.MIN_VALUE / 2;
+    boolean stale;
+    private long brokeAt = Long.MIN_VALUE / 2;
+
+    Runner(String service, String region, String zone, Rows.Runner row, int slots, long cacheTokens) {
+        this.service = service;
+        this.region = region;
+        this.zone = zone;
+        this.row = row;
+        this.slots = slots;
+        this.cacheTokens = cacheTokens;
+    }
+
+    public String id() { return row.name; }
+    public String address() { return row.address; }
+    public int running() { return running; }
+    public long reading() { return reading; }
+    public boolean cold(long now) { return row.cold || now < coldUntil; }
+
+    /** Tokens of a prompt's shared parts that this runner probably does not keep. */
+    int missing(Prompt p) {
+        var missing = 0;
+        var broken = false;
+        for (var i = 0; i < p.shared(); i++) {
+            broken |= !kept.containsKey(p.ids()[i]);
+            if (broken) missing += p.tokens()[i];
+        }
+        return missing;
+    }
+
+    int own(Prompt p) {
+        var sum = p.in();
+        for (var i = 0; i < p.shared(); i++) sum -= p.tokens()[i];
+        return Math.max(0, sum);
+    }
+
+    void started(Prompt p, int read) {
+        running++;
+        reading += read;
+        held += p.in() + p.out();
+        for (var i = 0; i < p.shared(); i++) {
+            if (kept.put(p.ids()[i], p.tokens()[i]) == null) keptTokens += p.tokens()[i];
+        }
+        var most = cacheTokens == 0 ? Long.MAX_VALUE : Math.max(cacheTokens / 4, cacheTokens - held);
+        var it = kept.entrySet().iterator();
+        while (keptTokens > most && it.hasNext()) {
+            keptTokens -= it.next().getValue();
+            it.remove();
+        }
+    }
+
+    void read(int tokens) { reading -= tokens; }
+
+    void ended(Prompt p) {
+        running--;
+        held -= p.in() + p.out();
+    }
+
+    public void reported(int run, int wait, long now) {
+        othersRunning = Math.max(0, run - running);
+        othersWaiting = wait;
+        reportedAt = now;
+    }
+
+    int load(long now) { return running + (now - reportedAt < REPORT_FRESH ? othersRunning + othersWaiting : 0); }
+
+    int waiting(long now) { return now - reportedAt < REPORT_FRESH ? othersWaiting : 0; }
+
+    boolean crowded(long now) { return load(now) >= slots || cacheTokens > 0 && held > cacheTokens * 9 / 10; }
+
+    public void heard(long now) {
+        heard = now;
+        suspectSince = Long.MIN_VALUE;
+        suspectUntil = now;
+    }
+
+    public long heardAt() { return heard; }
+
+    public void suspect(long now) {
+        if (suspectSince == Long.MIN_VALUE) suspectSince = now;
+        suspectUntil = now + QUIET;
+    }
+
+    public boolean suspected(long now) { return now < suspectUntil; }
+
+    /** One request may try a runner that was silent once its quiet time is over. */
+    boolean mayProbe(long now) { return suspectSince == Long.MIN_VALUE || now - probed > QUIET; }
+
+    void probed(long now) { if (suspectSince != Long.MIN_VALUE) probed = now; }
+
+    /** Another life answers at its address. */
+    public void gone() { stale = true; }
+
+    /** A connection to it broke off in the middle of a request. */
+    public void broke(long now) { brokeAt = now; }
+
+    boolean brokeLately(long now) { return now - brokeAt < 1_000_000; }
+
+    void forgetKept() {
+        kept.clear();
+        keptTokens = 0;
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/pass/PassDesk.java
@@ -0,0 +1,41 @@
+package craneway.link.pass;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+
+/** Takes a requester's request whole and hands it to its passage. */
+final class PassDesk implements HttpHandler {
+    private final Passages all;
+    private boolean leaving;
+
+    PassDesk(Passages all) { this.all = all; }
+
+    void leave() { leaving = true; }
+
+    @Override
+    public void handleRequest(HttpServerExchange x) {
+        if (leaving) x.setPersistent(false);
+        x.getRequestReceiver().receiveFullBytes((e, b) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> begin(e, b)),
+            (e, problem) -> e.setStatusCode(400).endExchange());
+    }
+
+    private void begin(HttpServerExchange x, byte[] body) {
+        all.refresh();
+        var m = all.pool().view() == null ? null : all.pool().view().manifest();
+        var answer = new ClientAnswer(x, () -> { });
+        if (m == null) {
+            answer.own(503, "1", "{\"problem\":\"no manifest is in force here yet\"}");
+            return;
+        }
+        if (body.length > m.limits().bodyBytes()) {
+            answer.own(413, null, "{\"problem\":\"the body is longer than " + m.limits().bodyBytes() + " bytes\"}");
+            return;
+        }
+        var route = m.routes().match(x.getRequestHeaders().getFirst(Headers.HOST), x.getRequestURI());
+        if (route == null) answer.own(404, null, "{\"problem\":\"no route\"}");
+        else if (x.getRequestHeaders().getFirst(all.names().tryId()) == null) answer.own(400, null, "{\"problem\":\"" + all.names().tryId() + " is missing\"}");
+        else new Passage(all, x, route, body, all.now()).begin();
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/pass/Passage.java
@@ -0,0 +1,329 @@
+package craneway.link.pass;
+
+import craneway.data.placement.Placer;
+import craneway.data.placement.Prompt;
+import craneway.model.event.Event;
+import craneway.model.manifest.Route;
+import craneway.model.unit.Hash;
+import io.undertow.client.ClientRequest;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+
+/** One request from its last byte to the end of its answer: dispatched at most once unless its route allows more. */
+final class Passage {
+    private enum State { PLACING, SENT, ANSWERING, OVER }
+
+    private static final long CONNECT = 400_000, AGAIN = 25_000;
+
+    private final Passages all;
+    private final HttpServerExchange x;
+    private final ClientAnswer answer;
+    private final Route route;
+    private final String service;
+    private final Prompt prompt;
+    private final String tryId;
+    private final byte[] body;
+    private final long begun;
+    private final long deadline;
+    private final Set<String> tried = new HashSet<>();
+    private State state = State.PLACING;
+    private Placer.Choice choice;
+    private RunnerCall call;
+    private boolean reading;
+    private long sentAt;
+    private long heardAt;
+    private int sends;
+    private boolean stream;
+    private Events events;
+    private boolean joining;
+    private int refusals;
+    private XnioExecutor.Key timer;
+    private XnioExecutor.Key wake;
+
+    Passage(Passages all, HttpServerExchange x, Route route, byte[] body, long begun) {
+        this.all = all;
+        this.x = x;
+        this.route = route;
+        this.body = body;
+        this.begun = begun;
+        var h = x.getRequestHeaders();
+        var n = all.names();
+        tryId = h.getFirst(n.tryId());
+        prompt = Prompt.of(h.getFirst(n.parts()), h.getFirst(n.tokens()));
+        service = route.service(Hash.of(tryId == null ? "" : tryId));
+        deadline = begun + Math.min(route.deadline(), millis(h.getFirst(n.deadlineMs()), route.deadline()));
+        answer = new ClientAnswer(x, this::abandoned);
+    }
+
+    private static long millis(String s, long otherwise) {
+        return s == null || !s.matches("\\d{1,9}") ? otherwise : Long.parseLong(s) * 1000;
+    }
+
+    Placer.Choice choice() { return choice; }
+
+    Route route() { return route; }
+
+    /** True while a runner has the request and has said nothing yet. */
+    boolean silent() { return state == State.SENT; }
+
+    long sentAt() { return sentAt; }
+
+    long heardAt() { return heardAt; }
+
+    void begin() {
+        all.add(this);
+        var now = all.now();
+        all.budget().request(now);
+        timer = all.after(deadline - now, this::late);
+        place();
+    }
+
+    private void place() {
+        if (state == State.OVER) return;
+        var now = all.now();
+        all.refresh();
+        if (sends > 0 && !mayAgain(now)) {
+            giveUp("no further try is left");
+            return;
+        }
+        var c = all.placer().choose(route, service, prompt, tried, now);
+        if (c == null) waitOrDecline(now);
+        else send(c, now);
+    }
+
+    private boolean mayAgain(long now) {
+        return sends < Math.max(2, route.tries()) && all.budget().take(all.placer().routers().size(), now);
+    }
+
+    private void waitOrDecline(long now) {
+        if (answer.begun()) {
+            cut("no runner to go on with");
+            return;
+        }
+        if (sends > 0 || now - begun > Math.max(100_000, route.target() / 4)) {
+            giveUp("no runner may take it");
+            return;
+        }
+        tried.clear();
+        wake = all.after(AGAIN, this::place);
+    }
+
+    private void send(Placer.Choice c, long now) {
+        choice = c;
+        sends++;
+        tried.add(c.runner().id());
+        state = State.SENT;
+        reading = true;
+        sentAt = now;
+        all.placer().started(c, prompt, now);
+        call = new RunnerCall(all.connections(), c.runner().address(), request(c, now), body, new Heard(c));
+        call.start(true, CONNECT);
+    }
+
+    private ClientRequest request(Placer.Choice c, long now) {
+        var path = x.getQueryString().isEmpty() ? x.getRequestURI() : x.getRequestURI() + "?" + x.getQueryString();
+        var r = new ClientRequest().setMethod(x.getRequestMethod()).setPath(path);
+        var h = r.getRequestHeaders();
+        Forwarded.copy(x.getRequestHeaders(), h);
+        var n = all.names();
+        h.put(n.addressee(), c.runner().id());
+        h.put(n.deadlineMs(), Long.toString(Math.max(1, (deadline - now) / 1000)));
+        h.put(n.urgency(), Integer.toString(route.urgency()));
+        if (body.length > 0 || x.getRequestMethod().equals(Methods.POST) || x.getRequestMethod().equals(Methods.PUT))
+            h.put(Headers.CONTENT_LENGTH, body.length);
+        else h.remove(Headers.CONTENT_LENGTH);
+        if (joining) h.put(n.lastEventId(), events.lastId());
+        return r;
+    }
+
+    private void release() {
+        if (choice == null) return;
+        if (reading) all.placer().read(choice);
+        reading = false;
+        all.placer().ended(choice, prompt);
+        choice = null;
+    }
+
+    private void heard() {
+        heardAt = all.now();
+        choice.runner().heard(heardAt);
+        if (!reading) return;
+        reading = false;
+        all.placer().read(choice);
+    }
+
+    /** The runner says that it did not run it: another may. */
+    private void notRun(String cause) {
+        release();
+        state = State.PLACING;
+        refusals++;
+        place();
+    }
+
+    private void brokenOff(String cause) {
+        var resumes = route.resume() && events != null && events.lastId() != null;
+        release();
+        state = State.PLACING;
+        if (answer.begun()) {
+            if (!resumes) {
+                cut(cause);
+                return;
+            }
+            joining = true;
+            events.rest();
+            place();
+        } else if (route.repeatable()) {
+            place();
+        } else {
+            over();
+            all.note(Event.CUT_STREAM, route.name() + " " + tryId + " may have run: " + cause);
+            answer.own(502, null, "{\"problem\":\"the runner broke off; it may have run\"}");
+        }
+    }
+
+    private void giveUp(String cause) {
+        if (answer.begun()) {
+            cut(cause);
+            return;
+        }
+        over();
+        if (sends > refusals) answer.own(502, null, "{\"problem\":\"" + cause + "\"}");
+        else answer.own(503, all.retryAfter(route, service), "{\"problem\":\"" + cause + "\"}");
+    }
+
+    private void late() {
+        if (state == State.OVER) return;
+        var begunAnswer = answer.begun();
+        if (call != null) call.cancel();
+        release();
+        if (begunAnswer) {
+            cut("its deadline passed");
+            return;
+        }
+        over();
+        if (sends > refusals) answer.own(504, null, "{\"problem\":\"the deadline passed\"}");
+        else answer.own(503, all.retryAfter(route, service), "{\"problem\":\"the deadline passed; it did not run\"}");
+    }
+
+    private void cut(String cause) {
+        release();
+        over();
+        all.note(Event.CUT_STREAM, route.name() + " " + tryId + ": " + cause);
+        answer.cut();
+    }
+
+    /** The requester went away. */
+    private void abandoned() {
+        if (state == State.OVER) return;
+        if (call != null) call.cancel();
+        release();
+        over();
+    }
+
+    private void over() {
+        state = State.OVER;
+        if (timer != null) timer.remove();
+        if (wake != null) wake.remove();
+        all.remove(this);
+    }
+
+    private final class Heard implements RunnerCall.Sink {
+        private final Placer.Choice mine;
+        private boolean plain;
+
+        Heard(Placer.Choice mine) { this.mine = mine; }
+
+        private boolean stale() { return state == State.OVER || choice != mine; }
+
+        @Override
+        public void refused(String cause) {
+            if (stale()) return;
+            mine.runner().suspect(all.now());
+            sends--;
+            notRun(cause);
+        }
+
+        @Override
+        public void head(int status, HeaderMap h) {
+            if (stale()) return;
+            var n = all.names();
+            var id = h.getFirst(n.tryId());
+            if (id != null && !id.equals(tryId) || id == null && status / 100 == 2) {
+                foreign();
+                return;
+            }
+            choice.runner().heard(all.now());
+            all.load(choice.runner(), h.getFirst(n.load()));
+            if (status == 421 || h.contains(n.notRun())) {
+                if (status == 421) all.misdirected(choice.runner());
+                call.cancelQuietly();
+                notRun("status " + status);
+            } else if (status / 100 == 2 && !h.contains(n.stamp())) {
+                foreign();
+            } else if (status / 100 != 2 && !answer.begun() && route.repeatable() && status >= 500 && sends < route.tries()) {
+                call.cancelQuietly();
+                brokenOff("status " + status);
+            } else {
+                begin(status, h);
+            }
+        }
+
+        private void foreign() {
+            call.cancel();
+            brokenOff("an answer to another request");
+        }
+
+        private void begin(int status, HeaderMap h) {
+            state = State.ANSWERING;
+            if (answer.begun()) {
+                if (status / 100 == 2) return;
+                call.cancel();
+                cut("the next runner answered " + status);
+                return;
+            }
+            var type = h.getFirst(Headers.CONTENT_TYPE);
+            stream = type != null && type.startsWith("text/event-stream");
+            if (stream && route.resume() && !h.contains(Headers.CONTENT_LENGTH)) events = new Events();
+            plain = events == null;
+            answer.head(status, h);
+            if (stream) answer.write(ByteBuffer.allocate(0));
+        }
+
+        @Override
+        public void chunk(ByteBuffer b) {
+            if (stale()) return;
+            heard();
+            var whole = events == null ? b : events.take(b);
+            if (whole == null || answer.write(whole)) return;
+            call.pause();
+            answer.whenDrained(call::resume);
+        }
+
+        @Override
+        public void end() {
+            if (stale()) return;
+            heard();
+            if (events != null) {
+                var rest = events.rest();
+                if (rest.length > 0) answer.write(ByteBuffer.wrap(rest));
+            }
+            release();
+            over();
+            answer.end();
+        }
+
+        @Override
+        public void broken(String cause) {
+            if (stale()) return;
+            all.broke(mine.runner(), cause);
+            brokenOff(cause);
+        }
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/pass/Passages.java
@@ -0,0 +1,108 @@
+package craneway.link.pass;
+
+import craneway.control.node.Membership;
+import craneway.data.placement.ColdShare;
+import craneway.data.placement.Placer;
+import craneway.data.placement.Pool;
+import craneway.data.placement.RetryBudget;
+import craneway.data.placement.Runner;
+import craneway.link.platform.Vocabulary;
+import craneway.link.process.Seat;
+import craneway.model.event.Event;
+import craneway.model.event.Log;
+import craneway.model.manifest.Route;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** All open requests of one router, and what they share. One I/O thread. */
+final class Passages {
+    private static final long LOOK = 50_000, SILENT = 700_000, SWEEP = 500_000;
+
+    private final XnioIoThread io;
+    private final LongSupplier now;
+    private final Membership membership;
+    private final Vocabulary names;
+    private final Log log;
+    private final RunnerConnections connections;
+    private final Pool pool = new Pool();
+    private final Placer placer;
+    private final RetryBudget budget;
+    private final Set<Passage> open = new HashSet<>();
+    private long swept;
+
+    Passages(XnioIoThread io, LongSupplier now, Membership membership, Seat seat, Vocabulary names, Log log) {
+        this.io = io;
+        this.now = now;
+        this.membership = membership;
+        this.names = names;
+        this.log = log;
+        connections = new RunnerConnections(io, now);
+        placer = new Placer(pool, new ColdShare(seat.name()), seat.zone(), seat.region());
+        var b = seat.bounds();
+        budget = new RetryBudget(b.retryWindow(), b.retryRatio(), b.retrySlack());
+    }
+
+    void start() { after(LOOK, this::look); }
+
+    private void look() {
+        try {
+            refresh();
+            var t = now();
+            for (var p : open) {
+                if (!p.silent() || p.choice() == null) continue;
+                var r = p.choice().runner();
+                if (t - p.sentAt() > SILENT + p.choice().cost() && r.heardAt() < p.sentAt()) r.suspect(t);
+            }
+            if (t - swept > SWEEP) {
+                swept = t;
+                connections.sweep();
+            }
+        } finally {
+            after(LOOK, this::look);
+        }
+    }
+
+    long now() { return now.getAsLong(); }
+    Vocabulary names() { return names; }
+    Placer placer() { return placer; }
+    RetryBudget budget() { return budget; }
+    RunnerConnections connections() { return connections; }
+    Pool pool() { return pool; }
+    int open() { return open.size(); }
+
+    XnioExecutor.Key after(long micros, Runnable r) { return io.executeAfter(r, Math.max(1, micros), TimeUnit.MICROSECONDS); }
+
+    void refresh() { pool.follow(membership.view()); }
+
+    void add(Passage p) { open.add(p); }
+
+    void remove(Passage p) { open.remove(p); }
+
+    void note(Event e, String detail) { log.note(e, detail); }
+
+    void load(Runner r, String header) {
+        if (header == null) return;
+        var all = header.split(",");
+        if (all.length < 2) return;
+        try {
+            r.reported(Integer.parseInt(all[0].trim()), Integer.parseInt(all[1].trim()), now());
+        } catch (NumberFormatException e) {
+            log.note(Event.BAD_MESSAGE, "load of " + r.id() + ": " + header);
+        }
+    }
+
+    /** Another life has this address. */
+    void misdirected(Runner r) { r.gone(); }
+
+    void broke(Runner r, String cause) { r.broke(now()); }
+
+    /** Seconds until it is worth coming back. */
+    String retryAfter(Route route, String service) {
+        return String.format(Locale.ROOT, "%.2f", 0.25);
+    }
+}
--- a/lib/state/src/main/java/craneway/state/message/Node.java
+++ b/lib/state/src/main/java/craneway/state/message/Node.java
@@ -8,6 +8,8 @@
     public String kind = "";
     public String zone = "";
     public String partner = "";
+    /** Where requesters reach a router, IP:PORT; empty where the manifest does not say. */
+    public String requester = "";
     public long incarnation;
     public long storeId;
     public long coreId;
@@ -28,6 +30,7 @@
 
     public Node with(long newIncarnation, boolean nowServing) {
         var n = new Node(name, kind, zone, partner, newIncarnation);
+        n.requester = requester;
         n.storeId = storeId;
         n.coreId = coreId;
         n.serving = nowServing;
