--- a/lib/link/src/main/java/craneway/link/pass/PassServer.java
+++ b/lib/link/src/main/java/craneway/link/pass/PassServer.java
@@ -1,6 +1,6 @@
 package craneway.link.pass;
 
-import craneway.control.node.Membership;
+import craneway.control.node.Membership.View;
 import craneway.link.platform.Vocabulary;
 import craneway.link.process.Seat;
 import craneway.model.event.Log;
@@ -11,6 +11,7 @@
 import java.io.UncheckedIOException;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -25,7 +26,7 @@
     private final Undertow readiness;
     private volatile boolean leaving;
 
-    public PassServer(LongSupplier now, Membership membership, Seat seat, Vocabulary names, Log log, BooleanSupplier ready) {
+    public PassServer(LongSupplier now, Supplier<View> view, Seat seat, Vocabulary names, Log log, BooleanSupplier ready) {
         try {
             worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 2)
@@ -33,7 +34,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        all = new Passages(worker.getIoThread(), now, membership, seat, names, log);
+        all = new Passages(worker.getIoThread(), now, view, seat, names, log);
         desk = new PassDesk(all);
         requesters = listen(seat.requester(), desk);
         readiness = listen(seat.readiness(), x -> {
--- a/lib/link/src/main/java/craneway/link/pass/Passages.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passages.java
@@ -1,6 +1,6 @@
 package craneway.link.pass;
 
-import craneway.control.node.Membership;
+import craneway.control.node.Membership.View;
 import craneway.data.placement.ColdShare;
 import craneway.data.placement.Placer;
 import craneway.data.placement.Pool;
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -25,7 +26,7 @@
 
     private final XnioIoThread io;
     private final LongSupplier now;
-    private final Membership membership;
+    private final Supplier<View> view;
     private final Vocabulary names;
     private final Log log;
     private final RunnerConnections connections;
@@ -35,10 +36,10 @@
     private final Set<Passage> open = new HashSet<>();
     private long swept;
 
-    Passages(XnioIoThread io, LongSupplier now, Membership membership, Seat seat, Vocabulary names, Log log) {
+    Passages(XnioIoThread io, LongSupplier now, Supplier<View> view, Seat seat, Vocabulary names, Log log) {
         this.io = io;
         this.now = now;
-        this.membership = membership;
+        this.view = view;
         this.names = names;
         this.log = log;
         connections = new RunnerConnections(io, now);
@@ -77,7 +78,7 @@
 
     XnioExecutor.Key after(long micros, Runnable r) { return io.executeAfter(r, Math.max(1, micros), TimeUnit.MICROSECONDS); }
 
-    void refresh() { pool.follow(membership.view()); }
+    void refresh() { pool.follow(view.get()); }
 
     void add(Passage p) { open.add(p); }
 
--- a/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
+++ b/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
@@ -1,6 +1,5 @@
 package craneway.link.process;
 
-import craneway.control.node.Membership;
 import craneway.data.router.Router;
 import craneway.link.pass.PassServer;
 import craneway.link.partner.PartnerDesk;
@@ -26,7 +25,7 @@
         self.requester = seat.requester();
         router = new Router(host, self, seat.seeds(), new Random());
         host.listen(seat.partner(), new PartnerDesk(this::core, router.directory()::kin, router::receive, log), 80L << 20);
-        server = new PassServer(host::now, router.membership(), seat, names, log, this::ready);
+        server = new PassServer(host::now, router.membership()::view, seat, names, log, this::ready);
         host.tick(router::tick);
         log.note(Event.STARTED, "router zone " + seat.zone() + " requester " + seat.requester() + " partner " + seat.partner());
     }
--- /dev/null
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -0,0 +1,168 @@
+package craneway.pass;
+
+import craneway.control.node.Membership;
+import craneway.link.pass.PassServer;
+import craneway.link.platform.Vocabulary;
+import craneway.link.process.Seat;
+import craneway.model.event.Event;
+import craneway.model.manifest.ManifestReader;
+import craneway.state.message.Node;
+import craneway.state.record.Rows;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** One router's request path between raw sockets: a requester on one side, fake runners on the other. */
+final class Bed implements AutoCloseable {
+    static final String MANIFEST = """
+        {"name":"bed","regions":["ra","rb"],"zones":[{"name":"a","region":"ra"},{"name":"b","region":"rb"}],
+         "services":[{"name":"s","work":[],"cells":[{"name":"a","zone":"a"},{"name":"b","zone":"b"}],
+           "engine":{"healthPath":"/health","connections":100,"coldMs":3000,"coldPerSecond":9.2,"slots":8,"cacheTokens":100000}}],
+         "limits":{"headerBytes":16384,"bodyBytes":100000,"headerMs":3000,"idleMs":15000},
+         "routes":[
+          {"name":"once","host":"h.example","prefix":"/once/","kind":"once","deadlineMs":5000,"targetMs":500,"shares":[{"service":"s","weight":1}],"tries":2},
+          {"name":"again","host":"h.example","prefix":"/again/","kind":"repeatable","deadlineMs":5000,"targetMs":500,"shares":[{"service":"s","weight":1}],"tries":2},
+          {"name":"stream","host":"h.example","prefix":"/stream/","kind":"stream","deadlineMs":5000,"targetMs":500,"shares":[{"service":"s","weight":1}],"tries":1},
+          {"name":"resume","host":"h.example","prefix":"/resume/","kind":"stream","deadlineMs":5000,"targetMs":500,"resume":true,"shares":[{"service":"s","weight":1}],"tries":2},
+          {"name":"home","host":"h.example","prefix":"/home/","kind":"once","deadlineMs":5000,"targetMs":400,"regions":["rb"],"shares":[{"service":"s","weight":1}],"tries":1}]}
+        """;
+
+    record Answer(int status, Map<String, String> headers, byte[] body, boolean whole) {
+        String text() { return new String(body, java.nio.charset.StandardCharsets.ISO_8859_1); }
+    }
+
+    final List<String> noted = new CopyOnWriteArrayList<>();
+    final PassServer server;
+    final Seat seat;
+    private final Rows.Service service = new Rows.Service();
+    private final Rows.Manifest topic = new Rows.Manifest();
+    private volatile Membership.View view;
+
+    Bed() throws IOException {
+        service.name = "s";
+        service.regions.addAll(List.of("ra", "rb"));
+        service.cells.addAll(List.of("a", "b"));
+        service.zones.addAll(List.of("a", "b"));
+        service.cellRegions.addAll(List.of("ra", "rb"));
+        service.weights.addAll(List.of(1, 1));
+        service.homes = new int[400];
+        Arrays.fill(service.homes, 0);
+        Arrays.fill(service.homes, 200, 300, 1);
+        publish();
+        var bounds = new Seat.Bounds(4_000_000, 3_000_000, 8_000_000, 3_000_000, 5_000_000, 0.2, 10_000_000, 60, 1.5, 5, 400_000, 5_000_000);
+        seat = new Seat("r1", "a", "ra", Map.of("a", "ra", "b", "rb"), free(), free(), null, null, "127.0.0.1:1", List.of(), false, null, 1, 1_200_000, bounds);
+        server = new PassServer(() -> System.nanoTime() / 1000, () -> view, seat, names(), (Event e, String d) -> noted.add(e.code() + " " + d), () -> true);
+    }
+
+    static Vocabulary names() {
+        return new Vocabulary(new HttpString("Try"), new HttpString("Stamp"), new HttpString("Deadline"), new HttpString("Parts"), new HttpString("Tokens"),
+            new HttpString("Model"), new HttpString("Addressee"), new HttpString("Runner"), new HttpString("Load"), new HttpString("Not-Run"),
+            new HttpString("Cold"), new HttpString("Urgency"), new HttpString("Last-Event-Id"), "/ready", "/report");
+    }
+
+    private static String free() throws IOException {
+        try (var s = new ServerSocket(0)) {
+            return "127.0.0.1:" + s.getLocalPort();
+        }
+    }
+
+    void runner(String id, FakeRunner r, String cell) { runner(id, r.address(), cell, Rows.Runner.UP); }
+
+    void runner(String id, String address, String cell, int state) {
+        var row = new Rows.Runner();
+        row.name = id;
+        row.address = address;
+        row.cell = cell;
+        row.slots = 8;
+        row.incarnation = 1;
+        row.state = state;
+        var all = new TreeMap<>(service.runners);
+        all.put(id, row);
+        service.runners = all;
+        publish();
+    }
+
+    void mark(String zone, String how) {
+        topic.marks.put("zone:" + zone, how);
+        publish();
+    }
+
+    void publish() {
+        var s = new Rows.Service();
+        s.name = "s";
+        s.regions = service.regions;
+        s.cells = service.cells;
+        s.zones = service.zones;
+        s.cellRegions = service.cellRegions;
+        s.weights = service.weights;
+        s.homes = service.homes;
+        s.runners = service.runners;
+        var members = new ArrayList<List<Node>>();
+        for (var i = 0; i < 4; i++) members.add(List.of());
+        view = new Membership.View(topic, ManifestReader.read(MANIFEST).get(), new HashMap<>(Map.of("s", s)), new long[4], members, 0, new long[4]);
+    }
+
+    Socket connect() throws IOException {
+        var at = seat.requester().lastIndexOf(':');
+        var s = new Socket("127.0.0.1", Integer.parseInt(seat.requester().substring(at + 1)));
+        s.setSoTimeout(10_000);
+        return s;
+    }
+
+    static void send(Socket s, String path, String tryId, String more, String body) throws IOException {
+        s.getOutputStream().write(("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nTry: " + tryId + "\r\nDeadline: 4000\r\n" + more
+            + "Content-Length: " + body.length() + "\r\n\r\n" + body).getBytes("ISO-8859-1"));
+        s.getOutputStream().flush();
+    }
+
+    Answer ask(String path, String tryId, String body) throws IOException {
+        try (var s = connect()) {
+            send(s, path, tryId, "", body);
+            return answer(s.getInputStream());
+        }
+    }
+
+    static Answer answer(InputStream in) throws IOException {
+        var line = FakeRunner.line(in);
+        if (line == null) return new Answer(0, Map.of(), new byte[0], false);
+        var h = new TreeMap<String, String>(String.CASE_INSENSITIVE_ORDER);
+        for (var l = FakeRunner.line(in); l != null && !l.isEmpty(); l = FakeRunner.line(in)) h.put(l.substring(0, l.indexOf(':')).trim(), l.substring(l.indexOf(':') + 1).trim());
+        var out = new ByteArrayOutputStream();
+        var whole = h.containsKey("content-length") ? counted(in, out, Integer.parseInt(h.get("content-length"))) : chunked(in, out);
+        return new Answer(Integer.parseInt(line.split(" ")[1]), h, out.toByteArray(), whole);
+    }
+
+    private static boolean counted(InputStream in, ByteArrayOutputStream out, int n) throws IOException {
+        var b = in.readNBytes(n);
+        out.writeBytes(b);
+        return b.length == n;
+    }
+
+    private static boolean chunked(InputStream in, ByteArrayOutputStream out) {
+        try {
+            for (var l = FakeRunner.line(in); l != null; l = FakeRunner.line(in)) {
+                var n = Integer.parseInt(l, 16);
+                if (n == 0) return FakeRunner.line(in) != null;
+                var b = in.readNBytes(n);
+                out.writeBytes(b);
+                if (b.length < n || FakeRunner.line(in) == null) return false;
+            }
+        } catch (IOException e) {
+            return false;
+        }
+        return false;
+    }
+
+    @Override
+    public void close() { server.close(); }
+}
