What may resume leaves a runner that fell silent; all else waits for its end

Cause: a dark runner holds a stream until its deadline. Change: after silence of 280 ms on all its streams a resumable one goes on elsewhere, from the budget.

--- a/lib/link/src/main/java/craneway/link/pass/PassServer.java
+++ b/lib/link/src/main/java/craneway/link/pass/PassServer.java
@@ -73,6 +73,7 @@
 
     @Override
     public void close() {
+        all.close();
         stopListening();
         worker.shutdownNow();
     }
--- a/lib/link/src/main/java/craneway/link/pass/Passage.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passage.java
@@ -20,7 +20,7 @@
 final class Passage {
     private enum State { PLACING, SENT, ANSWERING, OVER }
 
-    private static final long CONNECT = 400_000, AGAIN = 25_000;
+    private static final long CONNECT = 400_000, AGAIN = 25_000, FIRST = 250_000, GAP = 280_000, SILENT = 600_000;
 
     private final Passages all;
     private final HttpServerExchange x;
@@ -66,17 +66,6 @@
         return s == null || !s.matches("\\d{1,9}") ? otherwise : Long.parseLong(s) * 1000;
     }
 
-    Placer.Choice choice() { return choice; }
-
-    Route route() { return route; }
-
-    /** True while a runner has the request and has said nothing yet. */
-    boolean silent() { return state == State.SENT; }
-
-    long sentAt() { return sentAt; }
-
-    long heardAt() { return heardAt; }
-
     void begin() {
         all.add(this);
         var now = all.now();
@@ -99,7 +88,7 @@
     }
 
     private boolean mayAgain(long now) {
-        return sends < Math.max(2, route.tries()) && all.budget().take(all.placer().routers().size(), now);
+        return sends < route.tries() && all.budget().take(all.placer().routers().size(), now);
     }
 
     private void waitOrDecline(long now) {
@@ -159,6 +148,30 @@
         all.placer().read(choice);
     }
 
+    /** Looks at the runner's silence; what may be repeated goes on elsewhere, everything else waits for its end. */
+    void look(long now) {
+        if (choice == null) return;
+        var r = choice.runner();
+        var since = state == State.SENT ? sentAt : heardAt;
+        var bound = state == State.SENT ? FIRST + 2 * choice.cost() : GAP;
+        if (now - since < bound || now - r.heardAt() < bound || r.heardAt() > since && state == State.SENT) return;
+        if (state == State.SENT || now - since > SILENT) r.suspect(now);
+        if (state == State.SENT ? route.repeatable() : events != null && events.lastId() != null) elsewhere(now);
+    }
+
+    private void elsewhere(long now) {
+        if (sends >= route.tries()) return;
+        var c = all.placer().choose(route, service, prompt, tried, now);
+        if (c == null || c.runner().suspected(now) || !all.budget().take(all.placer().routers().size(), now)) return;
+        call.cancel();
+        release();
+        if (answer.begun()) {
+            joining = true;
+            events.rest();
+        }
+        send(c, now);
+    }
+
     /** The runner says that it did not run it: another may. */
     private void notRun(String cause) {
         release();
--- a/lib/link/src/main/java/craneway/link/pass/Passages.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passages.java
@@ -12,6 +12,7 @@
 import craneway.model.event.Log;
 import craneway.model.manifest.Route;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -22,7 +23,7 @@
 
 /** All open requests of one router, and what they share. One I/O thread. */
 final class Passages {
-    private static final long LOOK = 50_000, SILENT = 700_000, SWEEP = 500_000;
+    private static final long LOOK = 40_000, SWEEP = 500_000;
 
     private final XnioIoThread io;
     private final LongSupplier now;
@@ -34,6 +35,7 @@
     private final Placer placer;
     private final RetryBudget budget;
     private final Set<Passage> open = new HashSet<>();
+    private volatile boolean closed;
     private long swept;
 
     Passages(XnioIoThread io, LongSupplier now, Supplier<View> view, Seat seat, Vocabulary names, Log log) {
@@ -48,23 +50,21 @@
         budget = new RetryBudget(b.retryWindow(), b.retryRatio(), b.retrySlack());
     }
 
+    void close() { closed = true; }
+
     void start() { after(LOOK, this::look); }
 
     private void look() {
         try {
             refresh();
             var t = now();
-            for (var p : open) {
-                if (!p.silent() || p.choice() == null) continue;
-                var r = p.choice().runner();
-                if (t - p.sentAt() > SILENT + p.choice().cost() && r.heardAt() < p.sentAt()) r.suspect(t);
-            }
+            for (var p : List.copyOf(open)) p.look(t);
             if (t - swept > SWEEP) {
                 swept = t;
                 connections.sweep();
             }
         } finally {
-            after(LOOK, this::look);
+            if (!closed) after(LOOK, this::look);
         }
     }
 
--- a/test/pass/src/test/java/craneway/pass/PassTest.java
+++ b/test/pass/src/test/java/craneway/pass/PassTest.java
@@ -269,6 +269,45 @@
         }
     }
 
+    @Test
+    void aStreamThatMayResumeLeavesARunnerThatFellSilent() throws Exception {
+        FakeRunner.Script script = x -> {
+            x.streamHead();
+            if (x.header("Last-Event-Id") == null) {
+                x.chunk("id: 1\ndata: a\n\n");
+            } else {
+                x.chunk("id: 2\ndata: b\n\n");
+                x.answer("0\r\n\r\n");
+            }
+        };
+        try (var r = new FakeRunner(script); var o = new FakeRunner(script)) {
+            bed.runner("i1", r, "a");
+            bed.runner("i2", o, "a");
+            var a = bed.ask("/resume/x", "t", "");
+            assertTrue(a.whole());
+            assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", a.text());
+        }
+    }
+
+    @Test
+    void noAnswerThatMayNotResumeIsEndedForSilence() throws Exception {
+        var go = new CountDownLatch(1);
+        try (var r = new FakeRunner(x -> {
+            x.streamHead();
+            x.chunk("id: 1\ndata: a\n\n");
+            go.await(1_500, java.util.concurrent.TimeUnit.MILLISECONDS);
+            x.chunk("id: 2\ndata: b\n\n");
+            x.answer("0\r\n\r\n");
+        }); var o = new FakeRunner(x -> x.ok("never"))) {
+            bed.runner("i1", r, "a");
+            bed.runner("i2", o, "b");
+            var a = bed.ask("/stream/x", "t", "");
+            assertTrue(a.whole());
+            assertEquals("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", a.text());
+            assertEquals(0, o.seen.size());
+        }
+    }
+
     @Test
     void endsAtTheDeadlineAndNotBefore() throws Exception {
         try (var r = new FakeRunner(x -> { })) {
