Run on the users' platform: settings file, formats and a store that serves them

Cause: craneway had its own startup values, announcements and operator pages only; the platform starts processes with a settings file and speaks its own formats.

Nodes tell where a router takes requests.

--- a/lib/control/src/main/java/craneway/control/node/Directory.java
+++ b/lib/control/src/main/java/craneway/control/node/Directory.java
@@ -27,7 +27,7 @@
     private volatile Founding founding;
     private volatile Founding newer;
     private volatile long seen;
-    private long due;
+    private volatile long due;
 
     public Directory(Port port, Node self, List<String> seeds) {
         this.port = port;
@@ -98,6 +98,9 @@
         if (k.learned == 0) k.learned = now;
     }
 
+    /** Tells the others at the next tick. */
+    public void hurry() { due = 0; }
+
     public void tick(long now) {
         if (now < due) return;
         due = now + BEAT;
--- a/lib/control/src/main/java/craneway/control/node/Membership.java
+++ b/lib/control/src/main/java/craneway/control/node/Membership.java
@@ -108,6 +108,8 @@
     public synchronized void unready() {
         unready = true;
         serving();
+        for (var l : leases) l.due = 0;
+        directory.hurry();
     }
 
     private void serving() {
@@ -282,7 +284,7 @@
     private void takeManifest(Rows.Manifest m) {
         manifestTopic = m;
         if (m.text.isEmpty()) return;
-        manifest = ManifestReader.read(m.text).getOrElseThrow(p -> new IllegalStateException(p.detail()));
+        manifest = ManifestReader.readChecked(m.text).getOrElseThrow(p -> new IllegalStateException(p.detail()));
         directory.self(directory.self().with(manifest.lapsedGrace()));
         port.note(Event.MANIFEST_TAKEN, "version " + m.version + " marks " + m.marks);
         for (var s : manifest.services().keySet()) topics.computeIfAbsent(s, k -> new Topic());
--- /dev/null
+++ b/lib/control/src/main/java/craneway/control/operator/Passing.java
@@ -0,0 +1,78 @@
+package craneway.control.operator;
+
+import craneway.control.node.Asker;
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import craneway.model.unit.Parts;
+import craneway.state.message.Codec;
+import craneway.state.message.Commands;
+import craneway.state.message.Messages.AskVerdict;
+import craneway.state.message.Queries;
+import craneway.state.record.Rows;
+import io.vavr.control.Either;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+/** What a platform asks of the core; every call is answered within 0.8 s, with a problem where the core gives no reply. */
+public final class Passing {
+    private static final long PATIENCE = 800_000;
+
+    private final Asker asker;
+
+    public Passing(Asker asker) { this.asker = asker; }
+
+    public void manifest(Consumer<Either<Problem, Rows.Manifest>> then) {
+        asker.ask(Parts.MANIFEST, new Queries.ManifestGet(), PATIENCE,
+            v -> then.accept(reply(v).map(x -> Codec.read(Rows.Manifest.class, v.body))));
+    }
+
+    /** The text must have been checked; RACE_LOST and BAD_MANIFEST are final, any other problem leaves open whether it was taken. */
+    public void put(long base, long number, String text, String source, Consumer<Either<Problem, Void>> then) {
+        var c = new Commands.ManifestPut();
+        c.base = base;
+        c.number = number;
+        c.text = text;
+        c.source = source;
+        ask(Parts.MANIFEST, c, then);
+    }
+
+    public void mark(String zone, boolean emptied, Consumer<Either<Problem, Void>> then) {
+        var c = new Commands.ZoneMark();
+        c.zone = zone;
+        c.emptied = emptied;
+        ask(Parts.MANIFEST, c, then);
+    }
+
+    /** A call that came too late to count is as good as taken. */
+    public void beat(Commands.RunnerPut c, Consumer<Either<Problem, Void>> then) {
+        asker.ask(Parts.of(c.service), c, PATIENCE, v -> {
+            if (v.kind == Kind.STALE_RUNNER.code()) then.accept(Either.right(null));
+            else if (v.kind == 0) then.accept(reply(v));
+            else then.accept(Either.left(Problem.of(Kind.NO_OWNER, Kind.of(v.kind).text() + ": " + v.detail)));
+        });
+    }
+
+    /** Marks a life as leaving, whichever service it belongs to; one that no part knows is as good as gone. */
+    public void left(String runner, Consumer<Either<Problem, Void>> then) {
+        var open = new AtomicInteger(Parts.COUNT - 1);
+        var wrong = new AtomicReference<Problem>();
+        for (var p = 0; p < Parts.COUNT; p++) {
+            if (p == Parts.MANIFEST) continue;
+            var c = new Commands.RunnerLeft();
+            c.runner = runner;
+            asker.ask(p, c, PATIENCE, v -> {
+                reply(v).peekLeft(wrong::set);
+                if (open.decrementAndGet() == 0) then.accept(wrong.get() == null ? Either.right(null) : Either.left(wrong.get()));
+            });
+        }
+    }
+
+    private void ask(int part, Object command, Consumer<Either<Problem, Void>> then) {
+        asker.ask(part, command, PATIENCE, v -> then.accept(reply(v)));
+    }
+
+    private static Either<Problem, Void> reply(AskVerdict v) {
+        return v.kind == 0 ? Either.right(null) : Either.left(new Problem(Kind.of(v.kind), v.detail, v.retryAfter));
+    }
+}
--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -45,7 +45,7 @@
 import java.util.function.Consumer;
 
 public final class Keeper implements Outlet {
-    private static final long LAPSE = Membership.LEASE + 300_000, FORGET = 60_000_000, RUNNER_DARK = 3_000_000,
+    private static final long LAPSE = Membership.LEASE + 300_000, FORGET = 60_000_000,
         SUBSCRIBED = 2_000_000, AGE = 1_000_000, REPLACE = 4_000_000, SETTLED = 3_000_000;
 
     private static final class Lease {
@@ -59,6 +59,7 @@
     private record Wanting(Node node, long at) { }
 
     private final int part;
+    private final Settings settings;
     private final Port port;
     private final Directory directory;
     private final Membership membership;
@@ -74,6 +75,7 @@
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private final Map<String, Lease> leases = new TreeMap<>();
     private final Map<String, Long> runnersSeen = new HashMap<>();
+    private final Map<String, Long> runnerSequences = new HashMap<>();
     private final Map<String, Integer> runnerLoads = new HashMap<>();
     private final Map<String, Map<String, Long>> subscribers = new HashMap<>();
     private final Map<String, Long> told = new HashMap<>();
@@ -83,8 +85,10 @@
     private long owningSince;
     private long aged;
 
-    public Keeper(int part, long self, Folder folder, Members first, Port port, Directory directory, Membership membership, Random random) {
+    public Keeper(int part, long self, Folder folder, Members first, Port port, Directory directory,
+                  Membership membership, Settings settings, Random random) {
         this.part = part;
+        this.settings = settings;
         this.port = port;
         this.directory = directory;
         this.membership = membership;
@@ -150,6 +154,7 @@
         port.note(owns ? Event.OWNER : Event.OWNER_LOST, "part " + part + " term " + term);
         leases.clear();
         runnersSeen.clear();
+        runnerSequences.clear();
         runnerLoads.clear();
         told.clear();
         proposed.clear();
@@ -230,9 +235,14 @@
         else if (body instanceof Queries.PlanGet q) reply(a, plan(q));
         else if (body instanceof Commands.ManifestPut c) putManifest(a, c);
         else if (body instanceof Commands.RunnerPut c) putRunner(a, c, now);
+        else if (body instanceof Commands.RunnerLeft c && !knows(c.runner)) reply(a, Records.ok());
         else propose(body, v -> reply(a, v));
     }
 
+    private boolean knows(String runner) {
+        return records.rows().services.values().stream().map(s -> s.runners.get(runner)).anyMatch(r -> r != null && r.state != Rows.Runner.LEAVING);
+    }
+
     private static AskVerdict withBody(Object o) {
         var v = Records.ok();
         v.body = Codec.write(o);
@@ -245,26 +255,33 @@
     }
 
     private void putManifest(Ask a, Commands.ManifestPut c) {
-        var m = ManifestReader.read(c.text);
-        if (m.isLeft()) reply(a, Records.no(m.getLeft().kind(), m.getLeft().detail()));
+        var m = c.number > 0 ? null : ManifestReader.read(c.text);
+        if (m != null && m.isLeft()) reply(a, Records.no(m.getLeft().kind(), m.getLeft().detail()));
         else propose(c, v -> reply(a, v));
     }
 
     private void putRunner(Ask a, Commands.RunnerPut c, long now) {
         var s = records.rows().services.get(c.service);
         var r = s == null ? null : s.runners.get(c.runner);
-        var same = r != null && r.up() && r.incarnation == c.incarnation && r.cold == c.cold && r.slots == c.slots
+        var k = c.service + "/" + c.runner;
+        var late = c.sequence < runnerSequences.getOrDefault(k, 0L) && c.state == Rows.Runner.UP;
+        if (late) {
+            reply(a, Records.ok());
+            return;
+        }
+        var same = r != null && r.state == c.state && (r.up() || r.state == Rows.Runner.LEAVING) && r.incarnation == c.incarnation && r.cold == c.cold && r.slots == c.slots
             && r.cell.equals(c.cell) && r.address.equals(c.address);
         if (r == null || c.incarnation >= r.incarnation) {
-            runnersSeen.put(c.service + "/" + c.runner, now);
-            runnerLoads.put(c.service + "/" + c.runner, c.load);
+            runnersSeen.put(k, now);
+            runnerSequences.merge(k, c.sequence, Math::max);
+            runnerLoads.put(k, c.load);
         }
         var cell = s == null ? -1 : s.cells.indexOf(c.cell);
         if (s == null) reply(a, Records.no(Kind.UNKNOWN_SERVICE, "no service " + c.service));
         else if (cell < 0 || !s.live(cell)) reply(a, Records.no(Kind.BAD_FIELD, "service " + c.service + " has no cell " + c.cell));
         else if (same) reply(a, Records.ok());
         else propose(c, v -> {
-            if (v.kind == 0) port.note(Event.RUNNER_UP, c.runner + " incarnation " + c.incarnation + (c.cold ? " cold" : ""));
+            if (v.kind == 0) port.note(c.state == Rows.Runner.UP ? Event.RUNNER_UP : Event.RUNNER_LEAVING, c.runner + " incarnation " + c.incarnation + (c.cold ? " cold" : ""));
             reply(a, v);
         });
     }
@@ -327,7 +344,8 @@
         } else if (r.leaving) {
             leave(r, m);
         } else if (m == null || m.lapsed || m.node.incarnation != r.from.incarnation || !m.node.partner.equals(r.from.partner)
-            || m.node.serving != r.from.serving || m.node.grace != r.from.grace || m.node.wire != r.from.wire) {
+            || m.node.serving != r.from.serving || m.node.grace != r.from.grace || m.node.wire != r.from.wire
+            || !m.node.requester.equals(r.from.requester)) {
             var c = new Commands.MemberPut();
             c.node = r.from;
             propose(c, x -> { if (x.kind == 0) renewed(r, port.now()); });
@@ -388,7 +406,7 @@
         var n = new News();
         n.topic = topic;
         n.version = version(topic);
-        n.body = Codec.write(topic.equals(Parts.MANIFEST_TOPIC) ? records.rows().manifest : records.rows().services.get(topic));
+        n.body = Codec.write(topic.equals(Parts.MANIFEST_TOPIC) ? records.rows().manifest.inForce() : records.rows().services.get(topic));
         return n;
     }
 
@@ -445,7 +463,7 @@
             for (var r : s.runners.values()) {
                 var k = s.name + "/" + r.name;
                 var seen = runnersSeen.computeIfAbsent(k, x -> now);
-                if (!r.up() || now - seen <= RUNNER_DARK || proposedOnce("dark/" + k)) continue;
+                if (!r.up() || now - seen <= settings.dark() || proposedOnce("dark/" + k)) continue;
                 var c = new Commands.RunnerMark();
                 c.service = s.name;
                 c.runner = r.name;
@@ -472,12 +490,26 @@
             return;
         }
         if (wanting == null || now - wanting.at > REPLACE) return;
+        if (settings.steady() && !due(m, now)) return;
         var rival = voterIn(m, wanting.node.zone);
         if (rival != 0 && now - group.heardFrom(rival) < REPLACE) return;
         group.regroup(m.withLearner(wanting.node.storeId, wanting.node.zone), now);
         wanting = null;
     }
 
+    private boolean due(Members m, long now) {
+        if (m.voters.length < Math.min(3, settings.founders())) return true;
+        for (var i = 0; i < m.voters.length; i++)
+            if (region(m.zones[i]).equals(region(wanting.node.zone))) return now - group.heardFrom(m.voters[i]) >= REPLACE;
+        return false;
+    }
+
+    private String region(String zone) {
+        var m = membership.view().manifest();
+        var r = m == null ? null : m.regionOfZone(zone);
+        return r == null ? zone : r;
+    }
+
     private void settleLearner(Members m, long now) {
         if (now - group.heardFrom(m.learner) > REPLACE && now - owningSince > REPLACE) group.regroup(m.without(m.learner), now);
         else if (group.matchOf(m.learner) >= group.lastIndex() - 64 && now - owningSince > SETTLED) group.regroup(m.promoted(), now);
@@ -500,9 +532,11 @@
         if (now - aged < AGE) return;
         var r = records.rows();
         var held = r.services.values().stream().anyMatch(s -> !s.heldUntil.isEmpty());
-        if (held || r.claimsLost || !r.claims.isEmpty() || !r.quotas.isEmpty()) {
+        var ended = settings.forgotten() > 0 && r.services.values().stream().anyMatch(s -> s.runners.values().stream().anyMatch(x -> !x.up()));
+        if (held || ended || r.claimsLost || !r.claims.isEmpty() || !r.quotas.isEmpty()) {
             var c = new Commands.Age();
             c.micros = now - aged;
+            c.forgotten = settings.forgotten();
             var m = membership.view().manifest();
             c.retention = m == null ? 86_400_000_000L : m.claimRetention();
             propose(c);
--- /dev/null
+++ b/lib/control/src/main/java/craneway/control/store/Settings.java
@@ -0,0 +1,17 @@
+package craneway.control.store;
+
+/**
+ * How a store keeps its core. Times are microseconds.
+ *
+ * @param founders how many empty stores found a core
+ * @param seedsOnly whether only the seeds named at the first start may found it, and only stores started at that time
+ * @param firstStart whether this is that time
+ * @param steady whether the core keeps its number of voters and replaces one only by another of the same region
+ * @param dark after how long a silent runner counts as gone
+ * @param forgotten after how long a runner that is leaving or gone is forgotten; 0: never
+ */
+public record Settings(int founders, boolean seedsOnly, boolean firstStart, boolean steady, long dark, long forgotten) {
+    private static final long DARK = 3_000_000;
+
+    public static Settings of(int founders) { return new Settings(founders, false, true, false, DARK, 0); }
+}
--- a/lib/control/src/main/java/craneway/control/store/Store.java
+++ b/lib/control/src/main/java/craneway/control/store/Store.java
@@ -34,15 +34,18 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 
 public final class Store {
-    private static final String IDENTITY = "identity", CORE = "core", KNOWN = "known", LOST = "lost.";
+    private static final String IDENTITY = "identity", CORE = "core", KNOWN = "known", FOUNDERS = "founders", LOST = "lost.";
     private static final long JOIN = 500_000, SAY = 5_000_000, SAVE = 5_000_000, ALIVE = 3_000_000;
 
     private final Port port;
     private final Folder folder;
-    private final int expected;
+    private final Settings settings;
+    private final List<String> seeds;
+    private Set<String> founders;
     private final Random random;
     private final Directory directory;
     private final Asker asker;
@@ -54,15 +57,32 @@
     private String savedKnown = "";
 
     public Store(Port port, Folder folder, Node self, List<String> seeds, int expected, Random random) {
+        this(port, folder, self, seeds, Settings.of(expected), random);
+    }
+
+    public Store(Port port, Folder folder, Node self, List<String> seeds, Settings settings, Random random) {
         this.port = port;
         this.folder = folder;
-        this.expected = expected;
+        this.settings = settings;
+        this.seeds = seeds;
         this.random = random;
         self.storeId = identity();
         directory = new Directory(port, self, withKnown(seeds));
         asker = new Asker(port, directory, random.nextLong() >>> 8);
         membership = new Membership(port, directory, asker);
         reopen();
+        founders = founders();
+    }
+
+    private Set<String> founders() {
+        if (!settings.seedsOnly()) return Set.of();
+        var b = folder.read(FOUNDERS);
+        if (b == null && settings.firstStart()) folder.replace(FOUNDERS, b = String.join("\n", seeds).getBytes());
+        return b == null ? Set.of() : Set.of(new String(b).split("\n"));
+    }
+
+    private boolean founds(Node n) {
+        return !settings.seedsOnly() || (founders.isEmpty() ? seeds.contains(n.partner) : founders.contains(n.partner));
     }
 
     public Directory directory() { return directory; }
@@ -120,7 +140,7 @@
         first.generation = f.has(self) ? f.generation : 0;
         var all = new Keeper[Parts.COUNT];
         for (var p = 0; p < all.length; p++)
-            all[p] = new Keeper(p, self, folder, first, port, directory, membership, new Random(random.nextLong()));
+            all[p] = new Keeper(p, self, folder, first, port, directory, membership, settings, new Random(random.nextLong()));
         keepers = all;
     }
 
@@ -151,6 +171,7 @@
         port.note(Event.SURRENDERED, "core " + Long.toHexString(f.coreId) + " generation " + f.generation);
         closeAll();
         setAside("generation " + f.generation + " of the core lives");
+        founders = Set.of();
         directory.follow(f);
         directory.self().storeId = identity();
         directory.self().coreId = 0;
@@ -228,20 +249,22 @@
         }
         if (heard.stream().anyMatch(k -> k.node.coreId != 0)) return;
         var empty = new ArrayList<Node>();
+        if (!founds(directory.self())) return;
         empty.add(directory.self());
-        heard.stream().map(k -> k.node).filter(n -> n.kind.equals(Node.STORE)).forEach(empty::add);
+        heard.stream().map(k -> k.node).filter(n -> n.kind.equals(Node.STORE) && founds(n)).forEach(empty::add);
         empty.sort(Comparator.comparingLong(n -> n.storeId));
         var digest = digest(empty);
         directory.seen(digest);
-        var agreed = heard.stream().filter(k -> k.node.kind.equals(Node.STORE)).allMatch(k -> k.seen == digest);
-        if (empty.size() == expected && agreed) adopt(founding(empty, digest));
+        var agreed = heard.stream().filter(k -> k.node.kind.equals(Node.STORE) && founds(k.node)).allMatch(k -> k.seen == digest);
+        var may = !settings.seedsOnly() || !founders.isEmpty();
+        if (may && empty.size() == settings.founders() && agreed) adopt(founding(empty, digest));
         else if (now >= sayDue) sayWaiting(empty, now);
     }
 
     private void sayWaiting(List<Node> empty, long now) {
         sayDue = now + SAY;
         port.note(Event.WAITING_TO_FOUND, "sees " + empty.size() + " empty stores " + empty.stream().map(n -> n.name).toList()
-            + " and needs exactly " + expected + " that see one another");
+            + " and needs exactly " + settings.founders() + " that see one another");
     }
 
     private static long digest(List<Node> stores) {
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/directory/AddressDesk.java
@@ -0,0 +1,44 @@
+package craneway.link.directory;
+
+import craneway.link.http.Desks;
+import craneway.link.http.Problems;
+import craneway.link.platform.Dialect;
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+
+/** Tells requesters where to go. */
+public final class AddressDesk implements HttpHandler {
+    private static final long KEEP = 2_000_000;
+
+    private final Dialect dialect;
+    private final Whereabouts whereabouts;
+    private final long keep;
+
+    public AddressDesk(Dialect dialect, Whereabouts whereabouts, long mostTtl) {
+        this.dialect = dialect;
+        this.whereabouts = whereabouts;
+        keep = Math.min(KEEP, mostTtl);
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange x) {
+        var p = dialect.paths();
+        if (!x.getRequestPath().equals(p.addresses())) Desks.noSuchPage(x);
+        else if (!x.getRequestMethod().equals(Methods.GET)) Desks.wrongMethod(x);
+        else reply(x, query(x, p.askingZone()), query(x, p.askingRegion()));
+    }
+
+    private void reply(HttpServerExchange x, String zone, String region) {
+        var all = whereabouts.near(zone, region);
+        if (all.isEmpty()) Problems.send(x, Problem.of(Kind.NO_PATH, "no router is serving"));
+        else Problems.sendJson(x, dialect.addresses(all, keep));
+    }
+
+    private static String query(HttpServerExchange x, String name) {
+        var q = x.getQueryParameters().get(name);
+        return q == null ? "" : q.getFirst();
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/directory/Whereabouts.java
@@ -0,0 +1,48 @@
+package craneway.link.directory;
+
+import craneway.control.store.Store;
+import craneway.model.unit.Parts;
+import craneway.state.message.Node;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** The routers that a store knows to be serving. */
+public final class Whereabouts {
+    private static final int MOST = 64;
+
+    private final Store store;
+    private final Map<String, String> zones;
+
+    public Whereabouts(Store store, Map<String, String> zones) {
+        this.store = store;
+        this.zones = zones;
+    }
+
+    /** At most 64 requester addresses: of the zone; if it has none, of its region; else of all. */
+    public List<String> near(String zone, String region) {
+        var all = serving();
+        var r = zones.getOrDefault(zone, region);
+        var near = of(all, n -> n.zone.equals(zone));
+        if (near.isEmpty()) near = of(all, n -> zones.getOrDefault(n.zone, "").equals(r));
+        if (near.isEmpty()) near = of(all, n -> true);
+        Collections.shuffle(near);
+        return near.subList(0, Math.min(MOST, near.size()));
+    }
+
+    private static List<String> of(List<Node> all, Predicate<Node> which) {
+        return new ArrayList<>(all.stream().filter(which).map(n -> n.requester).distinct().toList());
+    }
+
+    private List<Node> serving() {
+        return store.membership().view().members().get(Parts.MANIFEST).stream()
+            .filter(n -> n.isRouter() && n.serving && !n.requester.isEmpty() && !stopping(n)).toList();
+    }
+
+    private boolean stopping(Node n) {
+        var heard = store.directory().named(n.name);
+        return heard != null && heard.incarnation >= n.incarnation && !heard.serving;
+    }
+}
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/http/Desks.java
@@ -0,0 +1,25 @@
+package craneway.link.http;
+
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+
+public final class Desks {
+    private Desks() { }
+
+    /** Takes the body and goes on in {@code where}, once the exchange can wait for a reply from any thread. */
+    public static void withBody(HttpServerExchange x, Executor where, Consumer<byte[]> then) {
+        x.getRequestReceiver().receiveFullBytes((e, b) -> e.dispatch(where, () -> then.accept(b)),
+            (e, p) -> Problems.send(e, Problem.of(Kind.TOO_LARGE)));
+    }
+
+    /** Goes on when the exchange can wait for a reply from any thread. */
+    public static void later(HttpServerExchange x, Runnable then) { x.dispatch(SameThreadExecutor.INSTANCE, then); }
+
+    public static void noSuchPage(HttpServerExchange x) { Problems.send(x, Problem.of(Kind.NO_SUCH_PAGE)); }
+
+    public static void wrongMethod(HttpServerExchange x) { Problems.send(x, Problem.of(Kind.WRONG_METHOD)); }
+}
--- a/lib/link/src/main/java/craneway/link/http/Problems.java
+++ b/lib/link/src/main/java/craneway/link/http/Problems.java
@@ -21,9 +21,11 @@
         return n;
     }
 
-    public static void send(HttpServerExchange x, Problem p) {
+    public static void send(HttpServerExchange x, Problem p) { send(x, p, p.kind().status()); }
+
+    public static void send(HttpServerExchange x, Problem p, int status) {
         if (x.isResponseStarted()) return;
-        x.setStatusCode(p.kind().status());
+        x.setStatusCode(status);
         x.getResponseHeaders().put(Names.PROBLEM, p.kind().code());
         x.getResponseHeaders().put(Names.RETRY_MICROS, p.retryAfter());
         if (p.kind().transientState()) x.getResponseHeaders().put(Headers.RETRY_AFTER, p.retrySeconds());
--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/operator/PassDesk.java
@@ -0,0 +1,133 @@
+package craneway.link.operator;
+
+import craneway.control.operator.Passing;
+import craneway.link.http.Desks;
+import craneway.link.http.Problems;
+import craneway.link.platform.Dialect;
+import craneway.model.problem.Kind;
+import craneway.model.problem.Problem;
+import craneway.state.message.Commands;
+import craneway.state.record.Rows;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.Executor;
+
+/** Takes a platform's configurations, emptied zones and runner beats, in the platform's dialect. */
+public final class PassDesk implements HttpHandler {
+    private final Dialect dialect;
+    private final Passing passing;
+    private final Set<String> zones;
+    private final Executor work;
+
+    public PassDesk(Dialect dialect, Passing passing, Set<String> zones, Executor work) {
+        this.dialect = dialect;
+        this.passing = passing;
+        this.zones = zones;
+        this.work = work;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange x) {
+        var p = dialect.paths();
+        var path = x.getRequestPath();
+        if (path.equals(p.configuration())) configuration(x);
+        else if (name(path, p.runner()) != null) runner(x, name(path, p.runner()));
+        else if (name(path, p.zone()) != null) zone(x, name(path, p.zone()));
+        else Desks.noSuchPage(x);
+    }
+
+    private static String name(String path, String start) {
+        if (!path.startsWith(start) || path.length() == start.length()) return null;
+        var n = path.substring(start.length());
+        return n.indexOf('/') < 0 ? n : null;
+    }
+
+    private void configuration(HttpServerExchange x) {
+        switch (x.getRequestMethod().toString()) {
+            case "GET" -> Desks.later(x, () -> passing.manifest(r -> readBack(x, r.map(m -> m.source))));
+            case "PUT" -> Desks.withBody(x, work, b -> put(x, b));
+            default -> Desks.wrongMethod(x);
+        }
+    }
+
+    private static void readBack(HttpServerExchange x, Either<Problem, String> r) {
+        if (r.isLeft()) say(x, r.getLeft());
+        else if (r.get().isEmpty()) Desks.noSuchPage(x);
+        else {
+            x.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+            x.getResponseSender().send(r.get(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private void put(HttpServerExchange x, byte[] b) {
+        var base = base(x.getRequestHeaders().getFirst(Headers.IF_MATCH));
+        var c = dialect.configuration(b);
+        if (base < 0) say(x, Problem.of(Kind.BAD_OPERATOR_INPUT, "name the version this builds on in the header If-Match"));
+        else if (c.isLeft()) say(x, c.getLeft());
+        else passing.put(base, c.get().number(), c.get().manifest(), c.get().source(), r -> done(x, r, ""));
+    }
+
+    private static long base(String s) {
+        var n = s == null ? "" : s.strip().replace("\"", "");
+        return n.matches("\\d{1,18}") ? Long.parseLong(n) : -1;
+    }
+
+    private void zone(HttpServerExchange x, String zone) {
+        var m = x.getRequestMethod().toString();
+        if (!zones.contains(zone)) Desks.noSuchPage(x);
+        else if (!m.equals("POST") && !m.equals("DELETE")) Desks.wrongMethod(x);
+        else Desks.later(x, () -> passing.mark(zone, m.equals("POST"), r -> done(x, r, "")));
+    }
+
+    private void runner(HttpServerExchange x, String id) {
+        switch (x.getRequestMethod().toString()) {
+            case "PUT" -> Desks.withBody(x, SameThreadExecutor.INSTANCE, b -> beat(x, id, b));
+            case "DELETE" -> Desks.later(x, () -> passing.left(id, r -> done(x, r, "")));
+            default -> Desks.wrongMethod(x);
+        }
+    }
+
+    private void beat(HttpServerExchange x, String id, byte[] b) {
+        var read = dialect.beat(id, b);
+        if (read.isLeft()) say(x, read.getLeft());
+        else passing.beat(runner(read.get()), r -> done(x, r, dialect.taken()));
+    }
+
+    private static Commands.RunnerPut runner(Dialect.Beat b) {
+        var c = new Commands.RunnerPut();
+        var r = b.runner();
+        c.service = r.service();
+        c.runner = r.name();
+        c.address = r.address();
+        c.cell = r.cell();
+        c.slots = r.slots();
+        c.incarnation = r.incarnation();
+        c.cold = r.cold();
+        c.load = r.load();
+        c.state = b.leaving() ? Rows.Runner.LEAVING : Rows.Runner.UP;
+        c.coldFor = b.coldFor();
+        c.goneIn = b.goneIn();
+        c.sequence = b.sequence();
+        return c;
+    }
+
+    private static void done(HttpServerExchange x, Either<Problem, Void> r, String json) {
+        if (r.isLeft()) say(x, r.getLeft());
+        else if (json.isEmpty()) x.endExchange();
+        else Problems.sendJson(x, json);
+    }
+
+    private static void say(HttpServerExchange x, Problem p) {
+        var status = switch (p.kind()) {
+            case RACE_LOST -> 412;
+            case BAD_MANIFEST, BAD_OPERATOR_INPUT, BAD_JSON, BAD_FIELD -> 400;
+            default -> p.kind().status() < 500 ? p.kind().status() : 503;
+        };
+        Problems.send(x, p, status);
+    }
+}
--- a/lib/link/src/main/java/craneway/link/process/Host.java
+++ b/lib/link/src/main/java/craneway/link/process/Host.java
@@ -21,6 +21,7 @@
 import org.xnio.XnioWorker;
 
 public final class Host implements Port {
+    private static final int IO_THREADS = 4, TICKS = 5;
     private static final long TICK_MILLIS = 20;
 
     private final EventLog log;
@@ -29,12 +30,15 @@
     private final Post post;
     private final List<Undertow> servers = new ArrayList<>();
     private volatile boolean closed;
-    private final ScheduledExecutorService ticks = Executors.newScheduledThreadPool(5, r -> new Thread(r, "tick"));
+    private final ScheduledExecutorService ticks;
 
-    public Host(EventLog log, int threads, LongSupplier core) {
+    public Host(EventLog log, int threads, LongSupplier core) { this(log, IO_THREADS, threads, TICKS, core); }
+
+    public Host(EventLog log, int io, int threads, int ticking, LongSupplier core) {
+        ticks = Executors.newScheduledThreadPool(ticking, r -> new Thread(r, "tick"));
         this.log = log;
         try {
-            worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 4)
+            worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, io)
                 .set(Options.WORKER_TASK_CORE_THREADS, threads).set(Options.WORKER_TASK_MAX_THREADS, threads)
                 .set(Options.TCP_NODELAY, true).getMap());
         } catch (IOException e) {
--- a/lib/link/src/main/java/craneway/link/process/Until.java
+++ b/lib/link/src/main/java/craneway/link/process/Until.java
@@ -11,6 +11,13 @@
 
     public interface Stop { void run() throws InterruptedException; }
 
+    /** As {@link #stopped}, but the process ends with what is returned here also when a signal stops it. */
+    public static int ended(Stop stop, BooleanSupplier superseded) throws InterruptedException {
+        var r = stopped(stop, superseded);
+        Runtime.getRuntime().halt(r);
+        return r;
+    }
+
     public static int stopped(Stop stop, BooleanSupplier superseded) throws InterruptedException {
         var asked = new CountDownLatch(1);
         var done = new CountDownLatch(1);
--- a/lib/model/src/main/java/craneway/model/manifest/ManifestReader.java
+++ b/lib/model/src/main/java/craneway/model/manifest/ManifestReader.java
@@ -24,8 +24,11 @@
     private static final JsonMapper JSON = JsonMapper.builder()
         .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
         .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
-    private static final Schema SCHEMA = SchemaRegistry
-        .withDefaultDialect(SpecificationVersion.DRAFT_2020_12).getSchema(schemaText());
+
+    private static final class Shape {
+        private static final Schema SCHEMA = SchemaRegistry
+            .withDefaultDialect(SpecificationVersion.DRAFT_2020_12).getSchema(schemaText());
+    }
 
     private ManifestReader() { }
 
@@ -55,7 +58,7 @@
     }
 
     private static Either<Problem, JsonNode> fits(JsonNode n) {
-        var all = SCHEMA.validate(n);
+        var all = Shape.SCHEMA.validate(n);
         if (all.isEmpty()) return Either.right(n);
         return bad(all.stream().limit(20).map(e -> e.getInstanceLocation() + ": " + e.getMessage())
             .collect(Collectors.joining("; ")));
--- a/lib/state/src/main/java/craneway/state/message/Commands.java
+++ b/lib/state/src/main/java/craneway/state/message/Commands.java
@@ -40,6 +40,13 @@
         public long incarnation;
         public boolean cold;
         public int load;
+        /** UP or LEAVING, as in the record. */
+        public int state;
+        /** How long it stays cold, and how long until it is gone, in microseconds; 0: not told. */
+        public long coldFor;
+        public long goneIn;
+        /** Rises with each call of a runner; 0: not counted. */
+        public long sequence;
     }
 
     public static final class RunnerMark {
@@ -49,6 +56,9 @@
         public int state;
     }
 
+    /** A life that ended, in whichever service. */
+    public static final class RunnerLeft { public String runner; }
+
     public static final class Claim {
         public String service;
         public String key;
@@ -69,7 +79,12 @@
         public int state;
     }
 
-    public static final class Age { public long micros; public long retention; }
+    public static final class Age {
+        public long micros;
+        public long retention;
+        /** After how long a runner that left or went dark is forgotten; 0: never. */
+        public long forgotten;
+    }
 
     public static final class TableStep {
         public String service;
@@ -106,6 +121,8 @@
         public int[] cells;
     }
 
+    public static final class ZoneMark { public String zone; public boolean emptied; }
+
     public static final class PlanPut { public Plan plan; }
 
     public static final class PlanConfirm { public long plan; }
--- a/lib/state/src/main/java/craneway/state/message/Node.java
+++ b/lib/state/src/main/java/craneway/state/message/Node.java
@@ -14,6 +14,8 @@
     public boolean serving;
     public long grace;
     public int wire;
+    /** Where a router takes requests, IP:PORT; empty where it does not tell. */
+    public String requester = "";
 
     public Node() { }
 
@@ -33,6 +35,7 @@
         n.serving = nowServing;
         n.grace = grace;
         n.wire = wire;
+        n.requester = requester;
         return n;
     }
 
--- a/lib/state/src/main/java/craneway/state/message/Tags.java
+++ b/lib/state/src/main/java/craneway/state/message/Tags.java
@@ -13,7 +13,7 @@
         Commands.PlanConfirm.class, Commands.PlanStop.class, Commands.QuotaTake.class,
         Queries.Status.class, Queries.ManifestGet.class, Queries.Spread.class, Queries.PlanGet.class,
         Commands.StepAsk.class, Commands.StepMark.class, Commands.Displace.class,
-        Commands.Rebuilt.class, Commands.ClaimsAccepted.class,
+        Commands.Rebuilt.class, Commands.ClaimsAccepted.class, Commands.ZoneMark.class, Commands.RunnerLeft.class,
     };
 
     private Tags() { }
--- a/lib/state/src/main/java/craneway/state/record/Records.java
+++ b/lib/state/src/main/java/craneway/state/record/Records.java
@@ -29,6 +29,7 @@
         on(Commands.ServiceSync.class, this::serviceSync);
         on(Commands.RunnerPut.class, this::runnerPut);
         on(Commands.RunnerMark.class, this::runnerMark);
+        on(Commands.RunnerLeft.class, this::runnerLeft);
         on(Commands.Claim.class, this::claim);
         on(Commands.Finish.class, this::finish);
         on(Commands.Age.class, this::age);
@@ -38,6 +39,7 @@
         on(Commands.Displace.class, c -> Steps.displace(rows, c));
         on(Commands.Rebuilt.class, c -> rebuilt());
         on(Commands.ClaimsAccepted.class, c -> claimsAccepted());
+        on(Commands.ZoneMark.class, this::zoneMark);
         on(Commands.PlanPut.class, this::planPut);
         on(Commands.PlanConfirm.class, this::planConfirm);
         on(Commands.PlanStop.class, this::planStop);
@@ -176,7 +178,7 @@
         var cell = s.cells.indexOf(c.cell);
         if (cell < 0 || !s.live(cell)) return no(Kind.BAD_FIELD, "service " + c.service + " has no cell " + c.cell);
         var old = s.runners.get(c.runner);
-        if (old != null && (old.incarnation > c.incarnation || old.incarnation == c.incarnation && old.state == Rows.Runner.LEAVING))
+        if (old != null && (old.incarnation > c.incarnation || old.incarnation == c.incarnation && old.state == Rows.Runner.LEAVING && c.state == Rows.Runner.UP))
             return no(Kind.STALE_RUNNER, "runner " + c.runner + " is known as " + old.stateName() + " at incarnation " + old.incarnation);
         var r = new Rows.Runner();
         r.name = c.runner;
@@ -185,6 +187,10 @@
         r.slots = c.slots;
         r.incarnation = c.incarnation;
         r.cold = c.cold;
+        r.coldFor = c.coldFor;
+        r.goneIn = c.goneIn;
+        r.state = c.state;
+        r.endedAge = rows.age;
         s.runners.put(c.runner, r);
         s.newsVersion = rows.index;
         return ok();
@@ -195,12 +201,25 @@
         if (s == null) return no(Kind.UNKNOWN_SERVICE, "no service " + c.service);
         var r = s.runners.get(c.runner);
         if (r == null || r.incarnation != c.incarnation) return no(Kind.STALE_RUNNER, "no runner " + c.runner + " at incarnation " + c.incarnation);
-        if (r.state == Rows.Runner.LEAVING || r.state == c.state) return ok();
-        r.state = c.state;
-        s.newsVersion = rows.index;
+        end(s, r, c.state);
         return ok();
     }
 
+    private AskVerdict runnerLeft(Commands.RunnerLeft c) {
+        for (var s : rows.services.values()) {
+            var r = s.runners.get(c.runner);
+            if (r != null) end(s, r, Rows.Runner.LEAVING);
+        }
+        return ok();
+    }
+
+    private void end(Rows.Service s, Rows.Runner r, int state) {
+        if (r.state == Rows.Runner.LEAVING || r.state == state) return;
+        r.state = state;
+        r.endedAge = rows.age;
+        s.newsVersion = rows.index;
+    }
+
     private AskVerdict mayWrite(String service, int unit, long tableVersion, String region) {
         var s = rows.services.get(service);
         if (s == null) return no(Kind.UNKNOWN_SERVICE, "no service " + service);
@@ -288,9 +307,14 @@
         rows.claims.values().removeIf(r -> r.state != Rows.Claim.OPEN && rows.age - r.age > c.retention);
         rows.quotas.values().removeIf(q -> q.minute < rows.age / MINUTE);
         rows.services.values().forEach(s -> s.heldUntil.values().removeIf(t -> t <= rows.age));
+        if (c.forgotten > 0) rows.services.values().forEach(s -> forget(s, c.forgotten));
         return ok();
     }
 
+    private void forget(Rows.Service s, long after) {
+        if (s.runners.values().removeIf(r -> !r.up() && rows.age - r.endedAge > after)) s.newsVersion = rows.index;
+    }
+
     private AskVerdict tableStep(Commands.TableStep c) {
         var s = rows.services.get(c.service);
         if (s == null || s.tableVersion != c.tableVersion) return no(Kind.STALE_TABLE, "table moved on");
@@ -300,6 +324,17 @@
         return ok();
     }
 
+    private AskVerdict zoneMark(Commands.ZoneMark c) {
+        var m = rows.manifest;
+        var key = "zone:" + c.zone;
+        if (m.marks.containsKey(key) == c.emptied) return versioned(m.topicVersion);
+        if (c.emptied) m.marks.put(key, Plan.EMPTIED);
+        else m.marks.remove(key);
+        m.marksVersion++;
+        m.topicVersion = rows.index;
+        return versioned(m.topicVersion);
+    }
+
     private AskVerdict planPut(Commands.PlanPut c) {
         var p = c.plan;
         if (p.manifestVersion != rows.manifest.version || p.marksVersion != rows.manifest.marksVersion)
--- a/lib/state/src/main/java/craneway/state/record/Rows.java
+++ b/lib/state/src/main/java/craneway/state/record/Rows.java
@@ -21,6 +21,11 @@
         public long incarnation;
         public boolean cold;
         public int state;
+        /** How long it stays cold and how long until it is gone, told when this row was written, in microseconds. */
+        public long coldFor;
+        public long goneIn;
+        /** The age of the part at which it was marked leaving or dark. */
+        public long endedAge;
 
         public boolean up() { return state == UP; }
 
@@ -104,6 +109,17 @@
         public String source = "";
         public TreeMap<Long, Long> taken = new TreeMap<>();
         public TreeMap<String, String> marks = new TreeMap<>();
+
+        /** What is in force, without what is kept only to be read back. */
+        public Manifest inForce() {
+            var m = new Manifest();
+            m.version = version;
+            m.topicVersion = topicVersion;
+            m.marksVersion = marksVersion;
+            m.text = text;
+            m.marks = marks;
+            return m;
+        }
     }
 
     public static final class Whole {
