--- a/lib/state/src/main/java/craneway/state/message/Node.java
+++ b/lib/state/src/main/java/craneway/state/message/Node.java
@@ -8,8 +8,6 @@
     public String kind = "";
     public String zone = "";
     public String partner = "";
-    /** Where requesters reach a router, IP:PORT; empty where the manifest does not say. */
-    public String requester = "";
     public long incarnation;
     public long storeId;
     public long coreId;
@@ -38,7 +36,6 @@
         n.serving = nowServing;
         n.grace = grace;
         n.wire = wire;
-        n.requester = requester;
         return n;
     }
 
