--- /dev/null
+++ b/lib/link/src/main/java/craneway/link/partner/Frame.java
@@ -0,0 +1,111 @@
+package craneway.link.partner;
+
+import craneway.state.message.BadMessage;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+/** Messages as they travel together: version, flags, core id, checksum, and the tagged messages, deflated where that helps. */
+record Frame(int version, long core, byte[] payload) {
+    static final int VERSION = 1, HEAD = 14, DATAGRAM = 1_200, MOST = 80 << 20;
+    private static final int DEFLATED = 1, DEFLATE_FROM = 1_000, SUM_AT = 10;
+
+    static int room(byte[] m) { return m.length + 5; }
+
+    static byte[] of(long core, List<byte[]> messages) {
+        var plain = ByteBuffer.allocate(messages.stream().mapToInt(Frame::room).sum());
+        for (var m : messages) {
+            size(plain, m.length);
+            plain.put(m);
+        }
+        var whole = plain.position() > DEFLATE_FROM ? deflated(plain) : null;
+        return whole != null && whole.length < plain.position() ? made(core, DEFLATED, whole, whole.length) : made(core, 0, plain.array(), plain.position());
+    }
+
+    private static void size(ByteBuffer b, int n) {
+        for (; n > 127; n >>>= 7) b.put((byte) (n | 128));
+        b.put((byte) n);
+    }
+
+    private static byte[] made(long core, int flags, byte[] body, int n) {
+        var b = ByteBuffer.allocate(HEAD + n).put((byte) VERSION).put((byte) flags).putLong(core).putInt(0).put(body, 0, n);
+        return b.putInt(SUM_AT, sum(b.array())).array();
+    }
+
+    private static int sum(byte[] b) {
+        var c = new CRC32();
+        c.update(b, 0, SUM_AT);
+        c.update(b, HEAD, b.length - HEAD);
+        return (int) c.getValue();
+    }
+
+    private static byte[] deflated(ByteBuffer plain) {
+        var d = new Deflater(Deflater.BEST_SPEED, true);
+        try {
+            d.setInput(plain.array(), 0, plain.position());
+            d.finish();
+            var out = new ByteArrayOutputStream(plain.position() / 2);
+            var some = new byte[4_096];
+            while (!d.finished()) out.write(some, 0, d.deflate(some));
+            return out.toByteArray();
+        } finally {
+            d.end();
+        }
+    }
+
+    static Frame read(byte[] b) {
+        if (b.length < HEAD) throw new BadMessage("a frame of " + b.length + " bytes");
+        if (b[0] != VERSION && b[0] != VERSION + 1) throw new BadMessage("wire version " + b[0]);
+        var head = ByteBuffer.wrap(b);
+        if (head.getInt(SUM_AT) != sum(b)) throw new BadMessage("checksum differs");
+        var body = new byte[b.length - HEAD];
+        System.arraycopy(b, HEAD, body, 0, body.length);
+        return new Frame(b[0], head.getLong(2), (b[1] & DEFLATED) == 0 ? body : inflated(body));
+    }
+
+    private static byte[] inflated(byte[] body) {
+        var i = new Inflater(true);
+        try {
+            i.setInput(body);
+            var out = new ByteArrayOutputStream(body.length * 3);
+            var some = new byte[4_096];
+            while (!i.finished()) {
+                var n = i.inflate(some);
+                if (n == 0 || out.size() > MOST) throw new BadMessage("a deflated frame that does not end");
+                out.write(some, 0, n);
+            }
+            return out.toByteArray();
+        } catch (DataFormatException e) {
+            throw new BadMessage("deflated: " + e.getMessage());
+        } finally {
+            i.end();
+        }
+    }
+
+    List<byte[]> messages() {
+        var all = new ArrayList<byte[]>();
+        for (var b = ByteBuffer.wrap(payload); b.hasRemaining(); ) {
+            var m = new byte[length(b)];
+            b.get(m);
+            all.add(m);
+        }
+        return all;
+    }
+
+    private static int length(ByteBuffer b) {
+        var n = 0L;
+        for (var shift = 0; ; shift += 7) {
+            if (!b.hasRemaining() || shift > 28) throw new BadMessage("a message without its length");
+            var x = b.get();
+            n |= (x & 127L) << shift;
+            if (x >= 0) break;
+        }
+        if (n > b.remaining()) throw new BadMessage("a message that is cut off");
+        return (int) n;
+    }
+}
--- a/lib/link/src/main/java/craneway/link/partner/Post.java
+++ b/lib/link/src/main/java/craneway/link/partner/Post.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 
-public final class Post {
+public final class Post implements Transport {
     private static final int MOST = 4_000, MOST_BYTES = 64 << 20, BATCH_BYTES = 1 << 20;
     private static final long CONNECT_MILLIS = 500, PATIENCE = 2_000_000;
 
@@ -27,10 +27,12 @@
         this.now = now;
     }
 
+    @Override
     public void send(String address, Object message) {
         lanes.computeIfAbsent(address, Lane::new).send(Codec.writeTagged(message));
     }
 
+    @Override
     public void tick() {
         for (var l : lanes.values()) l.tick();
     }
--- a/lib/link/src/main/java/craneway/link/process/Host.java
+++ b/lib/link/src/main/java/craneway/link/process/Host.java
@@ -3,6 +3,7 @@
 import craneway.control.node.Port;
 import craneway.link.http.Caller;
 import craneway.link.partner.Post;
+import craneway.link.partner.Transport;
 import craneway.model.event.Event;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
@@ -14,6 +15,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -26,12 +28,17 @@
     private final EventLog log;
     private final XnioWorker worker;
     private final Caller caller;
-    private final Post post;
+    private final Transport transport;
     private final List<Undertow> servers = new ArrayList<>();
     private volatile boolean closed;
     private final ScheduledExecutorService ticks = Executors.newScheduledThreadPool(5, r -> new Thread(r, "tick"));
 
-    public Host(EventLog log, int threads, LongSupplier core) {
+    public Host(EventLog log, int threads, LongSupplier core) { this((c, now) -> new Post(c, core, now), log, threads); }
+
+    /** A host whose messages to other processes go over the given transport, which it closes. */
+    public Host(EventLog log, int threads, Transport transport) { this((c, now) -> transport, log, threads); }
+
+    private Host(BiFunction<Caller, LongSupplier, Transport> transports, EventLog log, int threads) {
         this.log = log;
         try {
             worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 4)
@@ -41,15 +48,15 @@
             throw new UncheckedIOException(e);
         }
         caller = new Caller(worker);
-        post = new Post(caller, core, this::now);
-        tick(post::tick);
+        transport = transports.apply(caller, this::now);
+        tick(transport::tick);
     }
 
     @Override
     public long now() { return System.nanoTime() / 1000; }
 
     @Override
-    public void send(String address, Object message) { post.send(address, message); }
+    public void send(String address, Object message) { transport.send(address, message); }
 
     @Override
     public void note(Event e, String detail) { log.note(e, detail); }
@@ -89,6 +96,7 @@
         closed = true;
         ticks.shutdownNow();
         stopListening();
+        transport.close();
         worker.shutdownNow();
     }
 }
