Core: a lean pace, voters spread over regions, lost disks replaced at once

Cause: hellos list every node to every node, parts beat and renew each on their own, groups are fixed at three with one store per zone, a store back without its disk waits four seconds to be replaced, and a hung disk blocks the thread that receives. Change: Pace holds the times (steady: as before; lean: lists only to those who lack them, routers greet one store at a time, all parts share an owner and fall due together). Quorum says how many vote and in which regions. A voter whose node came back with another store id is removed at once. Rules gives each part an executor, so that a hung disk holds up its parts only. An owner that cannot hand over goes on owning; a large append or image is not sent again while on its way. Only the newest segment is read: an older one may come back half removed after a loss of power. A node whose clock went back before the founding outruns what others know of it.

--- a/lib/control/src/main/java/craneway/control/node/Directory.java
+++ b/lib/control/src/main/java/craneway/control/node/Directory.java
@@ -1,35 +1,47 @@
 package craneway.control.node;
 
+import craneway.model.unit.Hash;
+import craneway.model.unit.Pace;
 import craneway.state.message.Messages.Founding;
 import craneway.state.message.Messages.Hello;
 import craneway.state.message.Node;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 public final class Directory {
-    public static final long BEAT = 500_000, STALE = 3_000_000, FORGET = 60_000_000;
+    public static final long STALE = 3_000_000, FORGET = 60_000_000;
+    private static final long SEARCH = 250_000;
 
     public static final class Known {
         public volatile Node node;
         public volatile long heard = Long.MIN_VALUE / 2;
         public volatile long learned;
         public volatile long seen;
+        private volatile long list;
     }
 
     private final Port port;
     private final List<String> seeds;
+    private final Pace pace;
+    private final Set<Long> gone = ConcurrentHashMap.newKeySet();
     private final Map<String, Known> known = new ConcurrentHashMap<>();
     private volatile Node self;
     private volatile Founding founding;
     private volatile Founding newer;
     private volatile long seen;
     private long due;
+    private int turn;
 
-    public Directory(Port port, Node self, List<String> seeds) {
+    public Directory(Port port, Node self, List<String> seeds) { this(port, self, seeds, Pace.STEADY); }
+
+    public Directory(Port port, Node self, List<String> seeds, Pace pace) {
+        this.pace = pace;
         this.port = port;
         this.self = self;
         this.seeds = seeds;
@@ -91,17 +103,42 @@
         return all;
     }
 
+    /** Whether the disk of this store is known to be lost: its node has come back with another. */
+    public boolean gone(long storeId) { return gone.contains(storeId); }
+
+    public void replaced(Node old, Node by) {
+        if (old.storeId != 0 && by.storeId != 0 && old.storeId != by.storeId && old.name.equals(by.name)) gone.add(old.storeId);
+    }
+
     public void learn(Node n, long now) {
-        if (n == null || n.name.equals(self.name)) return;
+        if (n == null) return;
+        if (n.name.equals(self.name)) {
+            outrun(n);
+            return;
+        }
         var k = known.computeIfAbsent(n.name, x -> new Known());
-        if (k.node == null || n.incarnation > k.node.incarnation) k.node = n;
+        if (k.node == null || n.incarnation > k.node.incarnation) put(k, n);
         if (k.learned == 0) k.learned = now;
     }
 
+    private void put(Known k, Node n) {
+        if (k.node != null) replaced(k.node, n);
+        k.node = n;
+    }
+
+    private void outrun(Node n) {
+        if (self.coreId == 0 && n.incarnation > self.incarnation && n.partner.equals(self.partner)) self = self.with(n.incarnation + 1, self.serving);
+    }
+
     public void tick(long now) {
         if (now < due) return;
-        due = now + BEAT;
-        known.values().removeIf(k -> now - Math.max(k.heard, k.learned) > FORGET);
+        if (known.values().removeIf(k -> now - Math.max(k.heard, k.learned) > FORGET)) known.values().forEach(k -> k.list = 0);
+        if (pace.lean()) greetLean(now);
+        else greet(now);
+    }
+
+    private void greet(long now) {
+        due = now + pace.hello();
         var to = new LinkedHashSet<>(seeds);
         for (var k : known.values()) if (self.coreId == 0 || k.node.kind.equals(Node.STORE)) to.add(k.node.partner);
         to.remove(self.partner);
@@ -109,6 +146,54 @@
         to.forEach(a -> port.send(a, h));
     }
 
+    private void greetLean(long now) {
+        var stores = known.values().stream().filter(k -> k.node.kind.equals(Node.STORE)).toList();
+        var lost = self.coreId == 0 || stores.stream().noneMatch(k -> now - k.heard < STALE);
+        due = now + (lost ? Math.min(SEARCH, pace.hello()) : pace.hello());
+        var to = new LinkedHashSet<String>();
+        if (lost) to.addAll(seeds);
+        else if (!seeds.isEmpty() && !self.isRouter()) to.add(seeds.get(Math.floorMod(turn, seeds.size())));
+        if (self.isRouter() && !lost) to.add(stores.get(Math.floorMod(turn, stores.size())).node.partner);
+        else stores.forEach(k -> to.add(k.node.partner));
+        turn++;
+        to.remove(self.partner);
+        to.forEach(a -> port.send(a, lean(true, at(a))));
+    }
+
+    private Known at(String address) {
+        return known.values().stream().filter(k -> k.node.partner.equals(address)).findFirst().orElse(null);
+    }
+
+    private Hello lean(boolean asks, Known to) {
+        var h = new Hello();
+        h.from = self;
+        h.asks = asks;
+        h.seen = seen;
+        h.lean = true;
+        if (to == null || to.node.coreId != self.coreId) h.founding = founding;
+        if (to != null) h.have = to.list;
+        return h;
+    }
+
+    private Hello answer(Hello h, long now) {
+        if (!h.lean) return hello(false, now);
+        var k = known.get(h.from.name);
+        var a = lean(false, k);
+        if (h.from.coreId != self.coreId || k != null && k.node.incarnation > h.from.incarnation) a.founding = founding;
+        var stores = known.values().stream().filter(x -> now - x.heard < STALE && x.node.kind.equals(Node.STORE)).map(x -> x.node)
+            .sorted(Comparator.comparing(n -> n.name)).toList();
+        a.list = digest(stores);
+        if (a.list != h.have) a.known.addAll(stores);
+        if (k != null && k.node.incarnation > h.from.incarnation) a.known.add(k.node);
+        return a;
+    }
+
+    private static long digest(List<Node> stores) {
+        var d = 1L;
+        for (var n : stores) d = Hash.of(Hash.of(d, Hash.of(n.name + " " + n.partner)), Hash.of(n.incarnation, n.storeId));
+        return d | 1;
+    }
+
     private Hello hello(boolean asks, long now) {
         var h = new Hello();
         h.from = self;
@@ -129,13 +214,14 @@
         learn(h.from, now);
         var k = known.get(h.from.name);
         if (k.node.incarnation == h.from.incarnation) {
-            k.node = h.from;
+            put(k, h.from);
             k.heard = now;
             k.seen = h.seen;
+            if (h.list != 0) k.list = h.list;
         }
         h.known.forEach(n -> learn(n, now));
         if (founding == null && h.founding != null) founding = h.founding;
         if (self.coreId == 0 && self.isRouter() && h.from.coreId != 0) self.coreId = h.from.coreId;
-        if (h.asks) port.send(h.from.partner, hello(false, now));
+        if (h.asks) port.send(h.from.partner, answer(h, now));
     }
 }
--- a/lib/control/src/main/java/craneway/control/node/Membership.java
+++ b/lib/control/src/main/java/craneway/control/node/Membership.java
@@ -4,6 +4,8 @@
 import craneway.model.manifest.Manifest;
 import craneway.model.manifest.ManifestReader;
 import craneway.model.problem.Kind;
+import craneway.model.unit.Hash;
+import craneway.model.unit.Pace;
 import craneway.model.unit.Parts;
 import craneway.model.unit.Rendezvous;
 import craneway.state.message.Codec;
@@ -22,9 +24,9 @@
 import java.util.function.IntFunction;
 
 public final class Membership {
-    public static final long LEASE = 2_000_000, RENEW = 500_000, SETTLED = 1_500_000;
+    public static final long LEASE = 2_000_000, SETTLED = 1_500_000;
     private static final int SILENCES = 2;
-    private static final long IMPATIENT = 300_000, PATIENCE = 1_000_000, SUBSCRIBE = 500_000, SUBSCRIBED = 2_000_000;
+    private static final long IMPATIENT = 300_000, PATIENCE = 1_000_000, SUBSCRIBED = 2_000_000;
 
     private static final class PartLease {
         long until = Long.MIN_VALUE / 2;
@@ -58,6 +60,7 @@
     private final Port port;
     private final Directory directory;
     private final Asker asker;
+    private final Pace pace;
     private final PartLease[] leases = new PartLease[Parts.COUNT];
     private final Map<String, Topic> topics = new TreeMap<>();
     private final Map<String, Rows.Service> services = new TreeMap<>();
@@ -70,7 +73,10 @@
     private IntFunction<List<Signal>> signals = p -> List.of();
     private volatile View view;
 
-    public Membership(Port port, Directory directory, Asker asker) {
+    public Membership(Port port, Directory directory, Asker asker) { this(port, directory, asker, Pace.STEADY); }
+
+    public Membership(Port port, Directory directory, Asker asker, Pace pace) {
+        this.pace = pace;
         this.port = port;
         this.directory = directory;
         this.asker = asker;
@@ -97,6 +103,8 @@
 
     public synchronized void signals(IntFunction<List<Signal>> from) { signals = from; }
 
+    public Node owner(int part) { return asker.owner(part); }
+
     public synchronized boolean superseded() { return superseded; }
 
     public synchronized boolean current() {
@@ -146,7 +154,7 @@
 
     private void renew(int part, long now) {
         var l = leases[part];
-        l.due = now + RENEW;
+        l.due = now + pause(now);
         if (l.unanswered >= SILENCES) asker.owner(part, null);
         var to = asker.owner(part);
         if (to == null) {
@@ -170,11 +178,15 @@
         port.send(to.partner, r);
     }
 
+    private long pause(long now) {
+        return pace.lean() ? pace.renew() - Math.floorMod(now - Hash.of(directory.self().name), pace.renew()) : pace.renew();
+    }
+
     private void follow(String name, Topic t, long now) {
         t.subscribers.values().removeIf(at -> now - at > SUBSCRIBED);
         var late = t.behindSince != 0 && now - t.behindSince > IMPATIENT && now - t.pulled > IMPATIENT;
         if (now < t.due && !late) return;
-        t.due = now + SUBSCRIBE;
+        t.due = now + pace.subscribe();
         var home = late ? null : homeOf(name);
         if (home == null || home.name.equals(directory.self().name)) home = asker.owner(Parts.of(name));
         if (late) t.pulled = now;
--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -11,6 +11,7 @@
 import craneway.model.manifest.Manifest;
 import craneway.model.manifest.ManifestReader;
 import craneway.model.problem.Kind;
+import craneway.model.unit.Pace;
 import craneway.model.unit.Parts;
 import craneway.state.disk.Folder;
 import craneway.state.message.BadMessage;
@@ -33,6 +34,7 @@
 import craneway.state.record.Rows;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -40,13 +42,16 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 
 public final class Keeper implements Outlet {
     private static final long LAPSE = Membership.LEASE + 300_000, FORGET = 60_000_000, RUNNER_DARK = 3_000_000,
-        SUBSCRIBED = 2_000_000, AGE = 1_000_000, REPLACE = 4_000_000, SETTLED = 3_000_000;
+        SUBSCRIBED = 2_000_000, AGE = 1_000_000, WANTED = 2_000_000;
+    private static final int BUFFER = 20_000;
 
     private static final class Lease {
         long incarnation;
@@ -62,6 +67,9 @@
     private final Port port;
     private final Directory directory;
     private final Membership membership;
+    private final Quorum quorum;
+    private final Pace pace;
+    private final Executor desk;
     private final Group group;
     private final Records records = new Records();
     private final Mover mover = new Mover();
@@ -70,7 +78,8 @@
     private final Signals signals = new Signals();
     private final LoadHistory history = new LoadHistory();
     private final ReentrantLock lock = new ReentrantLock();
-    private final ConcurrentLinkedQueue<Runnable> buffer = new ConcurrentLinkedQueue<>();
+    private final LinkedBlockingQueue<Runnable> buffer = new LinkedBlockingQueue<>(BUFFER);
+    private final AtomicBoolean summoned = new AtomicBoolean();
     private final Map<Long, Waiting> waiting = new HashMap<>();
     private final Map<String, Lease> leases = new TreeMap<>();
     private final Map<String, Long> runnersSeen = new HashMap<>();
@@ -78,21 +87,28 @@
     private final Map<String, Map<String, Long>> subscribers = new HashMap<>();
     private final Map<String, Long> told = new HashMap<>();
     private final Set<String> proposed = new HashSet<>();
-    private Wanting wanting;
+    private final Map<Long, Wanting> wanting = new TreeMap<>();
     private boolean closed;
     private long owningSince;
     private long aged;
 
-    public Keeper(int part, long self, Folder folder, Members first, Port port, Directory directory, Membership membership, Random random) {
+    public Keeper(int part, long self, Folder folder, Members first, Port port, Directory directory, Membership membership, Rules rules, Random random) {
+        quorum = rules.quorum();
+        pace = rules.pace();
+        desk = rules.desks().apply(part);
         this.part = part;
         this.port = port;
         this.directory = directory;
         this.membership = membership;
-        this.group = new Group(part, self, directory.founding().origin(), folder, first, records, random, this, port.now());
+        this.group = new Group(part, self, directory.founding().origin(), folder, first, records, random, this, pace, port.now());
     }
 
     public void offer(Runnable event) {
-        buffer.add(event);
+        if (buffer.offer(event) && summoned.compareAndSet(false, true)) desk.execute(this::work);
+    }
+
+    private void work() {
+        summoned.set(false);
         while (!buffer.isEmpty() && lock.tryLock()) {
             try {
                 if (closed) buffer.clear();
@@ -320,6 +336,7 @@
             return;
         }
         var m = records.rows().members.get(r.from.name);
+        if (m != null) directory.replaced(m.node, r.from);
         if (m != null && m.node.incarnation > r.from.incarnation) {
             var v = verdict(r, Kind.STALE_MEMBER.code());
             v.incarnation = m.node.incarnation;
@@ -458,37 +475,56 @@
 
     private void join(Join j, long now) {
         if (!group.fresh(now) || group.members().has(j.from.storeId)) return;
-        wanting = new Wanting(j.from, now);
+        wanting.put(j.from.storeId, new Wanting(j.from, now));
     }
 
     private void regroup(long now) {
         var m = group.members();
-        if (m.learner != 0) {
-            settleLearner(m, now);
-            return;
-        }
-        if (m.voters.length > 3) {
-            dropSilent(m, now);
-            return;
-        }
-        if (wanting == null || now - wanting.at > REPLACE) return;
-        var rival = voterIn(m, wanting.node.zone);
-        if (rival != 0 && now - group.heardFrom(rival) < REPLACE) return;
-        group.regroup(m.withLearner(wanting.node.storeId, wanting.node.zone), now);
-        wanting = null;
+        wanting.values().removeIf(w -> now - w.at > WANTED || m.has(w.node.storeId) || directory.gone(w.node.storeId));
+        var lost = lostDisk(m);
+        if (lost != 0) group.regroup(m.without(lost), now);
+        else if (m.learner != 0) settleLearner(m, now);
+        else if (m.voters.length > quorum.voters()) drop(m, now);
+        else admit(m, now);
+    }
+
+    private long lostDisk(Members m) {
+        if (m.learner != 0 && directory.gone(m.learner)) return m.learner;
+        for (var v : m.voters) if (v != directory.self().storeId && directory.gone(v)) return v;
+        return 0;
     }
 
     private void settleLearner(Members m, long now) {
-        if (now - group.heardFrom(m.learner) > REPLACE && now - owningSince > REPLACE) group.regroup(m.without(m.learner), now);
-        else if (group.matchOf(m.learner) >= group.lastIndex() - 64 && now - owningSince > SETTLED) group.regroup(m.promoted(), now);
+        if (silent(m.learner, now) && now - owningSince > pace.replace()) group.regroup(m.without(m.learner), now);
+        else if (group.matchOf(m.learner) >= group.lastIndex() - 64 && now - owningSince > pace.settled()) group.regroup(m.promoted(), now);
     }
 
-    private void dropSilent(Members m, long now) {
-        for (var v : m.voters) {
-            if (v == directory.self().storeId || now - group.heardFrom(v) < REPLACE) continue;
-            group.regroup(m.without(v), now);
-            return;
+    private boolean silent(long store, long now) { return store != directory.self().storeId && now - group.heardFrom(store) >= pace.replace(); }
+
+    private void drop(Members m, long now) {
+        var worst = -1;
+        for (var i = 0; i < m.voters.length; i++) {
+            if (m.voters[i] == directory.self().storeId) continue;
+            if (worst < 0 || rank(m, i, now) < rank(m, worst, now)) worst = i;
+        }
+        if (worst >= 0) group.regroup(m.without(m.voters[worst]), now);
+    }
+
+    private int rank(Members m, int i, long now) { return quorum.crowdWithout(m.zones, i) - (silent(m.voters[i], now) ? 1 << 28 : 0); }
+
+    private void admit(Members m, long now) {
+        var best = wanting.values().stream().map(Wanting::node).min(Comparator.comparingInt(n -> quorum.crowdWith(m.zones, n.zone))).orElse(null);
+        if (best == null || m.voters.length == quorum.voters() && !improves(m, best.zone, now)) return;
+        if (group.regroup(m.withLearner(best.storeId, best.zone), now)) wanting.remove(best.storeId);
+    }
+
+    private boolean improves(Members m, String zone, long now) {
+        var is = quorum.crowd(Arrays.asList(m.zones));
+        for (var i = 0; i < m.voters.length; i++) {
+            var then = quorum.crowdSwapped(m.zones, i, zone);
+            if (then < is && m.voters[i] != directory.self().storeId || then <= is && silent(m.voters[i], now)) return true;
         }
+        return false;
     }
 
     private static long voterIn(Members m, String zone) {
@@ -577,22 +613,31 @@
 
     private boolean storeSynced(Rows.Service s, int cell, long index, long now) {
         var id = voterIn(group.members(), s.zones.get(cell));
-        return id == 0 || id == directory.self().storeId || now - group.heardFrom(id) > SETTLED || group.matchOf(id) >= index;
+        return id == 0 || id == directory.self().storeId || now - group.heardFrom(id) > pace.settled() || group.matchOf(id) >= index;
     }
 
     private void spreadOwners(long now) {
-        if (now - owningSince < SETTLED || wanting != null && now - wanting.at < REPLACE) return;
+        if (now - owningSince < pace.settled()) return;
         var m = group.members();
+        var to = wantedOwner(m);
+        if (to == 0 || to == directory.self().storeId || m.voters.length != quorum.voters() || m.learner != 0) return;
+        var near = now - group.heardFrom(to) < pace.calm() && group.matchOf(to) >= group.lastIndex() - 64;
+        if (near && directory.store(to) != null) group.handOver(to, now);
+    }
+
+    private long wantedOwner(Members m) {
+        if (pace.lean()) {
+            var first = part == Parts.MANIFEST ? null : membership.owner(Parts.MANIFEST);
+            return first != null && m.votes(first.storeId) ? first.storeId : 0;
+        }
         var order = m.voters.clone();
         Arrays.sort(order);
-        var to = order[part % order.length];
-        if (to == directory.self().storeId || m.voters.length != 3 || m.learner != 0) return;
-        if (now - group.heardFrom(to) < Group.CALM && directory.store(to) != null) group.handOver(to, now);
+        return order[part % order.length];
     }
 
     private void handOver(long now) {
         if (!group.ready()) return;
         for (var v : group.members().voters)
-            if (v != directory.self().storeId && now - group.heardFrom(v) < Group.CALM && group.handOver(v, now)) return;
+            if (v != directory.self().storeId && now - group.heardFrom(v) < pace.calm() && group.handOver(v, now)) return;
     }
 }
--- a/lib/control/src/main/java/craneway/control/store/Store.java
+++ b/lib/control/src/main/java/craneway/control/store/Store.java
@@ -42,7 +42,7 @@
 
     private final Port port;
     private final Folder folder;
-    private final int expected;
+    private final Rules rules;
     private final Random random;
     private final Directory directory;
     private final Asker asker;
@@ -51,17 +51,21 @@
     private long joinDue;
     private long sayDue;
     private long saveDue;
-    private String savedKnown = "";
+    private volatile String savedKnown = "";
 
     public Store(Port port, Folder folder, Node self, List<String> seeds, int expected, Random random) {
+        this(port, folder, self, seeds, Rules.of(expected), random);
+    }
+
+    public Store(Port port, Folder folder, Node self, List<String> seeds, Rules rules, Random random) {
         this.port = port;
         this.folder = folder;
-        this.expected = expected;
+        this.rules = rules;
         this.random = random;
         self.storeId = identity();
-        directory = new Directory(port, self, withKnown(seeds));
+        directory = new Directory(port, self, withKnown(seeds), rules.pace());
         asker = new Asker(port, directory, random.nextLong() >>> 8);
-        membership = new Membership(port, directory, asker);
+        membership = new Membership(port, directory, asker, rules.pace());
         reopen();
     }
 
@@ -120,7 +124,7 @@
         first.generation = f.has(self) ? f.generation : 0;
         var all = new Keeper[Parts.COUNT];
         for (var p = 0; p < all.length; p++)
-            all[p] = new Keeper(p, self, folder, first, port, directory, membership, new Random(random.nextLong()));
+            all[p] = new Keeper(p, self, folder, first, port, directory, membership, rules, new Random(random.nextLong()));
         keepers = all;
     }
 
@@ -195,7 +199,7 @@
     }
 
     private void join(long now) {
-        joinDue = now + JOIN;
+        joinDue = now + (rules.pace().lean() ? JOIN / 2 : JOIN);
         for (var k : keepers) {
             if (k.group().members().has(directory.self().storeId)) continue;
             var to = asker.owner(k.group().part());
@@ -210,7 +214,10 @@
     private void saveKnown(long now) {
         saveDue = now + SAVE;
         var text = String.join("\n", directory.stores().stream().map(n -> n.partner).sorted().toList());
-        if (text.equals(savedKnown)) return;
+        if (!text.equals(savedKnown)) rules.desks().apply(Parts.MANIFEST).execute(() -> saveKnown(text));
+    }
+
+    private void saveKnown(String text) {
         try {
             folder.replace(KNOWN, text.getBytes());
             savedKnown = text;
@@ -234,14 +241,14 @@
         var digest = digest(empty);
         directory.seen(digest);
         var agreed = heard.stream().filter(k -> k.node.kind.equals(Node.STORE)).allMatch(k -> k.seen == digest);
-        if (empty.size() == expected && agreed) adopt(founding(empty, digest));
+        if (empty.size() == rules.expected() && agreed) adopt(founding(empty, digest));
         else if (now >= sayDue) sayWaiting(empty, now);
     }
 
     private void sayWaiting(List<Node> empty, long now) {
         sayDue = now + SAY;
         port.note(Event.WAITING_TO_FOUND, "sees " + empty.size() + " empty stores " + empty.stream().map(n -> n.name).toList()
-            + " and needs exactly " + expected + " that see one another");
+            + " and needs exactly " + rules.expected() + " that see one another");
     }
 
     private static long digest(List<Node> stores) {
--- a/lib/data/src/main/java/craneway/data/router/Router.java
+++ b/lib/data/src/main/java/craneway/data/router/Router.java
@@ -8,6 +8,7 @@
 import craneway.data.runner.Announcement;
 import craneway.data.runner.Loads;
 import craneway.model.event.Event;
+import craneway.model.unit.Pace;
 import craneway.model.unit.Parts;
 import craneway.state.message.Commands;
 import craneway.state.message.Messages.AskVerdict;
@@ -31,11 +32,13 @@
     private final Loads loads = new Loads();
     private final Executor executor;
 
-    public Router(Port port, Node self, List<String> seeds, Random random) {
+    public Router(Port port, Node self, List<String> seeds, Random random) { this(port, self, seeds, Pace.STEADY, random); }
+
+    public Router(Port port, Node self, List<String> seeds, Pace pace, Random random) {
         this.port = port;
-        directory = new Directory(port, self, seeds);
+        directory = new Directory(port, self, seeds, pace);
         asker = new Asker(port, directory, random.nextLong() >>> 8);
-        membership = new Membership(port, directory, asker);
+        membership = new Membership(port, directory, asker, pace);
         membership.signals(part -> executor().signals().take(part));
         executor = new Executor(port, directory, membership, asker, loads);
     }
--- a/lib/link/src/main/java/craneway/link/partner/Frame.java
+++ b/lib/link/src/main/java/craneway/link/partner/Frame.java
@@ -13,7 +13,7 @@
 /** Messages as they travel together: version, flags, core id, checksum, and the tagged messages, deflated where that helps. */
 record Frame(int version, long core, byte[] payload) {
     static final int VERSION = 1, HEAD = 14, DATAGRAM = 1_200, MOST = 80 << 20;
-    private static final int DEFLATED = 1, DEFLATE_FROM = 1_000, SUM_AT = 10;
+    private static final int DEFLATED = 1, DEFLATE_FROM = 300, SUM_AT = 10;
 
     static int room(byte[] m) { return m.length + 5; }
 
--- a/lib/link/src/main/java/craneway/link/process/DiskFolder.java
+++ b/lib/link/src/main/java/craneway/link/process/DiskFolder.java
@@ -14,17 +14,24 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 public final class DiskFolder implements Folder {
-    private static final long RESERVE = 16L << 20;
+    private static final long RESERVE = 16L << 20, LOOK = 64 << 10;
     private static final String LOCK = "lock";
 
     private final Path root;
+    private final long reserve;
+    private final AtomicLong unseen = new AtomicLong(LOOK);
     private final Map<String, FileChannel> open = new ConcurrentHashMap<>();
 
     private final FileLock lock;
 
-    public DiskFolder(Path root) {
+    public DiskFolder(Path root) { this(root, RESERVE); }
+
+    /** A folder that takes no more entries once fewer bytes than the reserve are free. */
+    public DiskFolder(Path root, long reserve) {
+        this.reserve = reserve;
         this.root = root;
         lock = guard(() -> take(root.resolve(LOCK)));
         if (lock == null) throw new BadStartup(List.of("data folder " + root + " is in use by another process"));
@@ -66,12 +73,18 @@
     @Override
     public void append(String name, byte[] b, int len) {
         guard(() -> {
-            if (Files.getFileStore(root).getUsableSpace() < RESERVE + len) throw new DiskProblem(true, "the disk is full but for its reserve");
+            if (unseen.addAndGet(len) >= LOOK) look(len);
             writeAll(channel(name), ByteBuffer.wrap(b, 0, len));
             return null;
         });
     }
 
+    private void look(int len) {
+        var free = root.toFile().getUsableSpace();
+        if (free > 0 && free < reserve + len) throw new DiskProblem(true, "the disk is full but for its reserve");
+        unseen.set(0);
+    }
+
     private FileChannel channel(String name) throws IOException {
         var c = open.get(name);
         if (c != null) return c;
--- a/lib/state/src/main/java/craneway/state/disk/SegmentLog.java
+++ b/lib/state/src/main/java/craneway/state/disk/SegmentLog.java
@@ -132,11 +132,11 @@
 
     private void load() {
         var all = segments();
-        for (var n : all) loadSegment(n, n.equals(all.get(all.size() - 1)));
+        if (!all.isEmpty()) loadSegment(all.get(all.size() - 1));
         if (image != null) dropOtherImages();
     }
 
-    private void loadSegment(int n, boolean newest) {
+    private void loadSegment(int n) {
         var b = ByteBuffer.wrap(folder.read(file(n)));
         var at = 0;
         while (view.wrap(b, at).valid()) {
@@ -145,7 +145,7 @@
         }
         var synced = markOf(n);
         if (b.limit() < synced) throw new DiskLost(file(n) + ": " + b.limit() + " bytes are left of " + synced + " that were synced");
-        var torn = newest && (synced >= 0 ? at >= synced : !validAfter(b, at + 1));
+        var torn = synced >= 0 ? at >= synced : !validAfter(b, at + 1);
         if (at < b.limit() && !torn) throw new DiskLost(file(n) + ": damaged at byte " + at + " of " + b.limit());
     }
 
--- a/lib/state/src/main/java/craneway/state/message/Messages.java
+++ b/lib/state/src/main/java/craneway/state/message/Messages.java
@@ -12,6 +12,9 @@
         public long seen;
         public Founding founding;
         public List<Node> known = new ArrayList<>();
+        public long list;
+        public long have;
+        public boolean lean;
     }
 
     public static final class Renew {
--- a/lib/state/src/main/java/craneway/state/part/Group.java
+++ b/lib/state/src/main/java/craneway/state/part/Group.java
@@ -1,6 +1,7 @@
 package craneway.state.part;
 
 import craneway.model.event.Event;
+import craneway.model.unit.Pace;
 import craneway.state.disk.DiskProblem;
 import craneway.state.disk.Folder;
 import craneway.state.disk.SegmentLog;
@@ -16,9 +17,8 @@
 import java.util.Set;
 
 public final class Group {
-    public static final long BEAT = 100_000, CALM = 700_000, SPREAD = 700_000;
-    private static final long LEASE = CALM * 8 / 10, AILING_PAUSE = 500_000, AGAIN = 200_000;
-    private static final int BATCH = 256, BATCH_BYTES = 1 << 20;
+    private static final long AILING_PAUSE = 500_000, AGAIN = 200_000, BULK_PATIENCE = 300_000;
+    private static final int BATCH = 256, BATCH_BYTES = 1 << 20, BULK = 1_000;
     private static final byte[] NONE = {};
 
     private static final class Partner {
@@ -27,6 +27,8 @@
         long acked = Long.MIN_VALUE;
         long sent = Long.MIN_VALUE;
         long heard;
+        long bulk;
+        long bulkUntil = Long.MIN_VALUE;
     }
 
     private final int part;
@@ -36,6 +38,7 @@
     private final Machine machine;
     private final Random random;
     private final Outlet out;
+    private final Pace pace;
     private final Map<Long, Partner> partners = new HashMap<>();
     private final Set<Long> yes = new HashSet<>();
     private final List<PartMessage> pending = new ArrayList<>();
@@ -55,7 +58,8 @@
     private long handingTo;
     private boolean readySaid;
 
-    public Group(int part, long self, long core, Folder folder, Members first, Machine machine, Random random, Outlet out, long now) {
+    public Group(int part, long self, long core, Folder folder, Members first, Machine machine, Random random, Outlet out, Pace pace, long now) {
+        this.pace = pace;
         this.part = part;
         this.self = self;
         this.core = core;
@@ -94,7 +98,7 @@
 
     public boolean ready() { return role == Role.OWNER && applied >= termStart; }
 
-    public boolean fresh(long now) { return ready() && handingOver == 0 && now < quorumStamp() + LEASE; }
+    public boolean fresh(long now) { return ready() && handingOver == 0 && now < quorumStamp() + pace.lease(); }
 
     public long matchOf(long id) {
         if (id == self) return log.last();
@@ -136,7 +140,7 @@
         yes.clear();
         handingOver = 0;
         handingTo = 0;
-        due = now + CALM + (long) (random.nextDouble() * SPREAD);
+        due = now + pace.calm() + (long) (random.nextDouble() * pace.spread());
         if (to == Role.SOUNDING || to == Role.CANDIDATE) due = now + AGAIN + (long) (random.nextDouble() * AGAIN);
         if (to == Role.AILING) due = now + AILING_PAUSE;
         if (from == Role.OWNER && readySaid) {
@@ -164,19 +168,20 @@
     }
 
     private void ownerTick(long now) {
-        if (now > quorumStamp() + CALM) {
+        if (now > quorumStamp() + pace.calm()) {
             owner = 0;
             move(Role.FOLLOWER, now);
             return;
         }
-        if (handingOver != 0 && now > handingOver + CALM) {
+        if (handingTo != 0 && now > handingOver + pace.calm()) handingOver = handingTo = 0;
+        if (handingOver != 0 && now > handingOver + pace.calm()) {
             owner = 0;
             move(Role.FOLLOWER, now);
             return;
         }
         for (var id : everyone()) {
             var p = partners.computeIfAbsent(id, k -> partnerAt(log.last() + 1, now));
-            if (now >= p.sent + BEAT) feed(id, now);
+            if (p.sent == Long.MIN_VALUE || pace.due(p.sent, now)) feed(id, now);
         }
     }
 
@@ -249,7 +254,7 @@
         partners.clear();
         for (var id : everyone()) {
             var p = partnerAt(log.last() + 1, now);
-            p.acked = now - CALM / 2;
+            p.acked = now - pace.calm() / 2;
             partners.put(id, p);
         }
         termStart = log.last() + 1;
@@ -305,18 +310,19 @@
     private void feed(long id, long now) {
         var p = partners.get(id);
         p.sent = now;
+        if (now < p.bulkUntil) {
+            pending.add(append(id, Math.max(p.match, log.first() - 1), now));
+            return;
+        }
         if (p.next < log.first()) {
             var m = message(PartMessage.IMAGE, id, log.term());
             m.image = log.image();
             m.stamp = now;
             pending.add(m);
+            bulk(p, m.image.index, m.image.body.length, now);
             return;
         }
-        var m = message(PartMessage.APPEND, id, log.term());
-        m.index = p.next - 1;
-        m.logTerm = log.termAt(p.next - 1);
-        m.commit = commit;
-        m.stamp = now;
+        var m = append(id, p.next - 1, now);
         var bytes = 0;
         for (var i = p.next; i <= log.last() && m.entries.size() < BATCH && bytes < BATCH_BYTES; i++) {
             m.entries.add(log.at(i));
@@ -324,8 +330,25 @@
         }
         p.next += m.entries.size();
         pending.add(m);
+        if (bytes > BULK) bulk(p, p.next - 1, bytes, now);
+    }
+
+    private PartMessage append(long id, long after, long now) {
+        var m = message(PartMessage.APPEND, id, log.term());
+        m.index = after;
+        m.logTerm = log.termAt(after);
+        m.commit = commit;
+        m.stamp = now;
+        return m;
     }
 
+    private static void bulk(Partner p, long upTo, int bytes, long now) {
+        p.bulk = upTo;
+        p.bulkUntil = now + BULK_PATIENCE + bytes;
+    }
+
+    private boolean behind(Partner p, long now) { return p != null && p.next <= log.last() && now >= p.bulkUntil; }
+
     public void receive(PartMessage m, long now) {
         if (role == Role.AILING) return;
         try {
@@ -359,7 +382,7 @@
     }
 
     private boolean calm(long now) {
-        return role == Role.OWNER ? now < quorumStamp() + CALM : now < heardOwner + CALM;
+        return role == Role.OWNER ? now < quorumStamp() + pace.calm() : now < heardOwner + pace.calm();
     }
 
     private boolean upToDate(PartMessage m) {
@@ -390,7 +413,7 @@
         r.yes = m.term == log.term() && (log.vote() == 0 || log.vote() == m.from) && role == Role.FOLLOWER && upToDate(m);
         if (r.yes) {
             if (log.vote() == 0) log.hard(log.term(), m.from);
-            due = now + CALM + (long) (random.nextDouble() * SPREAD);
+            due = now + pace.calm() + (long) (random.nextDouble() * pace.spread());
         }
         pending.add(r);
     }
@@ -405,7 +428,7 @@
         owner = m.from;
         heardOwner = now;
         if (role != Role.FOLLOWER) move(Role.FOLLOWER, now);
-        due = now + CALM + (long) (random.nextDouble() * SPREAD);
+        due = now + pace.calm() + (long) (random.nextDouble() * pace.spread());
     }
 
     private void appendAsked(PartMessage m, long now) {
@@ -450,11 +473,12 @@
         if (m.yes) {
             p.match = Math.max(p.match, m.index);
             p.next = Math.max(p.next, p.match + 1);
-        } else {
+            if (p.match >= p.bulk) p.bulkUntil = Long.MIN_VALUE;
+        } else if (now >= p.bulkUntil) {
             p.next = Math.max(p.match + 1, Math.min(p.next - 1, m.index + 1));
         }
         advance();
-        if (p.next <= log.last()) feed(m.from, now);
+        if (behind(p, now)) feed(m.from, now);
     }
 
     private void imageSent(PartMessage m, long now) {
@@ -512,7 +536,7 @@
 
     private void flush(long now) {
         if (role == Role.OWNER)
-            for (var id : everyone()) if (partners.containsKey(id) && partners.get(id).next <= log.last()) feed(id, now);
+            for (var id : everyone()) if (behind(partners.get(id), now)) feed(id, now);
         log.sync();
         if (role == Role.OWNER) advance();
         finishHandOver();
--- /dev/null
+++ b/test/sim/src/test/java/craneway/sim/Cluster.java
@@ -0,0 +1,221 @@
+package craneway.sim;
+
+import craneway.control.node.Port;
+import craneway.control.operator.Operator;
+import craneway.control.store.Keeper;
+import craneway.control.store.Quorum;
+import craneway.control.store.Rules;
+import craneway.control.store.Store;
+import craneway.data.router.Router;
+import craneway.model.event.Event;
+import craneway.model.unit.Pace;
+import craneway.model.unit.Parts;
+import craneway.state.message.Codec;
+import craneway.state.message.Messages.Hello;
+import craneway.state.message.Node;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+
+/** Hollow stores and routers on one simulated clock: no requests, only what the control plane itself says. */
+final class Cluster {
+    static final long SECOND = 1_000_000, TICK = 20_000, DELAY = 4_000;
+
+    final class Member implements Port {
+        final String name;
+        final String kind;
+        final String zone;
+        String address;
+        Disk disk = new Disk();
+        long wall;
+        boolean up;
+        boolean hung;
+        int life;
+        Store store;
+        Router router;
+        Operator operator;
+        final Deque<Runnable> desk = new ArrayDeque<>();
+
+        Member(String name, String kind, String zone) {
+            this.name = name;
+            this.kind = kind;
+            this.zone = zone;
+            address = name;
+        }
+
+        void start() {
+            up = true;
+            life++;
+            var self = new Node(name, kind, zone, address, 1_000_000_000L + sim.now() / 1_000 + wall);
+            var random = new Random(sim.random.nextLong());
+            if (kind.equals(Node.STORE)) store = new Store(this, disk, self, seeds, new Rules(founders, quorum, pace, p -> this::work), random);
+            else router = new Router(this, self, seeds, pace, random);
+            operator = new Operator(this, store == null ? router.asker() : store.asker());
+            var mine = life;
+            sim.after((long) (sim.random.nextDouble() * TICK), () -> tick(mine));
+        }
+
+        private void work(Runnable r) {
+            if (hung) desk.add(r);
+            else r.run();
+        }
+
+        void hang(boolean is) {
+            hung = is;
+            while (!hung && !desk.isEmpty()) desk.poll().run();
+        }
+
+        void crash() {
+            up = false;
+            desk.clear();
+            hung = false;
+        }
+
+        void losePower() {
+            crash();
+            disk.losePower(sim.random);
+        }
+
+        void loseDisk() {
+            crash();
+            disk = new Disk();
+        }
+
+        private void tick(int mine) {
+            if (!up || life != mine) return;
+            if (store != null) store.tick();
+            else router.tick();
+            operator.tick(sim.now());
+            sim.after(TICK, () -> tick(mine));
+        }
+
+        long core() { return (store == null ? router.directory() : store.directory()).self().coreId; }
+
+        long storeId() { return store.directory().self().storeId; }
+
+        @Override
+        public long now() { return sim.now(); }
+
+        @Override
+        public void send(String to, Object message) {
+            if (!up) return;
+            var mine = core();
+            if (sim.random.nextDouble() < lost) return;
+            meter.sent(this, to, message);
+            var b = Codec.writeTagged(message);
+            sim.after(DELAY, () -> arrive(to, b, mine, message instanceof Hello));
+        }
+
+        private void arrive(String to, byte[] b, long core, boolean hello) {
+            var m = at(to);
+            if (m == null || !m.up || cut.contains(name + ">" + m.name)) return;
+            if (!hello && core != 0 && m.core() != 0 && m.core() != core) return;
+            if (m.store != null) m.store.receive(Codec.readTagged(b));
+            else m.router.receive(Codec.readTagged(b));
+        }
+
+        @Override
+        public void note(Event e, String detail) { notes.add(sim.now() / 1_000 + " " + name + " " + e + " " + detail); }
+    }
+
+    final Sim sim = new Sim(17);
+    final Map<String, Member> members = new TreeMap<>();
+    final List<String> notes = new ArrayList<>();
+    final Set<String> cut = new HashSet<>();
+    final Meter meter = new Meter(sim);
+    final Pace pace;
+    final Quorum quorum;
+    int founders = 3;
+    double lost;
+    List<String> seeds = List.of("s1", "s2", "s3");
+
+    Cluster(Pace pace, Quorum quorum) {
+        this.pace = pace;
+        this.quorum = quorum;
+    }
+
+    Member add(String name, String kind, String zone) {
+        var m = new Member(name, kind, zone);
+        members.put(name, m);
+        m.start();
+        return m;
+    }
+
+    Cluster stores(String... zones) {
+        for (var i = 0; i < zones.length; i++) add("s" + (i + 1), Node.STORE, zones[i]);
+        return this;
+    }
+
+    Cluster routers(int n) {
+        for (var i = 1; i <= n; i++) add("r" + i, Node.ROUTER, "z" + (i % 3 + 1));
+        return this;
+    }
+
+    Member get(String name) { return members.get(name); }
+
+    Member at(String address) { return members.values().stream().filter(m -> m.up && m.address.equals(address)).findFirst().orElse(null); }
+
+    void run(double seconds) { sim.runUntil(sim.now() + (long) (seconds * SECOND)); }
+
+    /** Seconds until it holds, or the most. */
+    double until(BooleanSupplier holds, double most) {
+        var from = sim.now();
+        while (!holds.getAsBoolean() && sim.now() - from < most * SECOND) sim.runUntil(sim.now() + TICK);
+        return (sim.now() - from) / (double) SECOND;
+    }
+
+    Member owner(int part) {
+        Member best = null;
+        for (var m : members.values()) {
+            if (!m.up || m.hung || m.store == null || m.store.keepers().length == 0) continue;
+            var g = m.store.keepers()[part].group();
+            if (g.fresh(sim.now()) && (best == null || g.term() > best.store.keepers()[part].group().term())) best = m;
+        }
+        return best;
+    }
+
+    boolean ownedBut(Member not) {
+        for (var p = 0; p < Parts.COUNT; p++) if (owner(p) == null || owner(p) == not) return false;
+        return true;
+    }
+
+    boolean owned() { return ownedBut(null); }
+
+    Set<String> voters(int part) {
+        var all = new HashSet<String>();
+        var g = owner(part).store.keepers()[part].group();
+        for (var v : g.members().voters) all.add(nameOf(v));
+        return all;
+    }
+
+    private String nameOf(long id) {
+        return members.values().stream().filter(m -> m.store != null && m.storeId() == id).map(m -> m.name).findFirst().orElse("?");
+    }
+
+    boolean votesEverywhere(Member m, int voters) {
+        for (var p = 0; p < Parts.COUNT; p++) {
+            if (owner(p) == null) return false;
+            var g = owner(p).store.keepers()[p].group().members();
+            if (!g.votes(m.storeId()) || g.voters.length != voters) return false;
+        }
+        return true;
+    }
+
+    Map<String, Integer> perZone(int part) {
+        var all = new HashMap<String, Integer>();
+        var k = owner(part).store.keepers()[part];
+        Arrays.stream(k.group().members().zones).forEach(z -> all.merge(z, 1, Integer::sum));
+        return all;
+    }
+
+    Keeper keeper(String name, int part) { return get(name).store.keepers()[part]; }
+}
--- /dev/null
+++ b/test/sim/src/test/java/craneway/sim/ControlCost.java
@@ -0,0 +1,75 @@
+package craneway.sim;
+
+import craneway.control.store.Quorum;
+import craneway.model.unit.Pace;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Prints what hollow nodes say to one another while nothing happens, and how long losses of the core take to mend. */
+public final class ControlCost {
+    private static final int SECONDS = 30, SEEDS = 40;
+
+    private ControlCost() { }
+
+    public static void main(String[] a) throws Exception {
+        var text = Files.readString(Path.of(ControlCost.class.getResource("/craneway/sim/maticar.json").toURI()));
+        System.out.println("| pace | nodes | messages/s | message bytes/s | datagrams/s | datagram bytes/s | bytes/s by kind, most first |");
+        System.out.println("|---|---|---|---|---|---|---|");
+        for (var n : List.of(10, 30, 100)) for (var p : List.of(Pace.STEADY, Pace.LEAN)) row(p, n, text);
+        System.out.println();
+        System.out.println("| lean pace, 3 stores | s, median | s, most |");
+        System.out.println("|---|---|---|");
+        mended("owner's process ended", 0);
+        mended("owner's disk hangs", 1);
+        mended("owner's disk is full", 2);
+        mended("a store back without its disk votes on all parts", 3);
+        mended("the owner back without its disk votes on all parts", 4);
+    }
+
+    private static void row(Pace pace, int nodes, String text) {
+        var c = new Cluster(pace, Quorum.THREE).stores("z1", "z2", "z3").routers(nodes - 3);
+        c.until(c::owned, 20);
+        c.get("s1").operator.send(0, text, r -> { });
+        c.run(20);
+        c.meter.clear();
+        c.run(SECONDS);
+        var m = c.meter;
+        var kinds = m.byKind.entrySet().stream().sorted(Map.Entry.<String, Long>comparingByValue().reversed()).limit(4)
+            .map(e -> e.getKey() + " " + e.getValue() / SECONDS / nodes).collect(Collectors.joining(", "));
+        System.out.printf("| %s | %d | %.1f | %.0f | %.1f | %.0f | %s |%n", pace.lean() ? "lean" : "steady", nodes, per(m.messages, nodes), per(m.bytes, nodes),
+            per(m.frames, nodes), per(m.framed, nodes), kinds);
+    }
+
+    private static double per(long count, int nodes) { return (double) count / SECONDS / nodes; }
+
+    private static void mended(String what, int kind) {
+        var all = IntStream.range(0, SEEDS).mapToDouble(i -> mend(kind, i)).sorted().toArray();
+        System.out.printf("| %s | %.2f | %.2f |%n", what, all[all.length / 2], all[all.length - 1]);
+    }
+
+    private static double mend(int kind, int seed) {
+        var c = new Cluster(Pace.LEAN, Quorum.THREE).stores("z1", "z2", "z3");
+        c.until(c::owned, 20);
+        c.run(5 + seed * 0.037);
+        var o = c.owner(0);
+        var m = kind == 3 ? c.members.values().stream().filter(x -> x != o).findFirst().get() : o;
+        if (kind == 0) o.crash();
+        else if (kind == 1) o.hang(true);
+        else if (kind == 2) full(c, o);
+        else {
+            m.loseDisk();
+            c.run(0.7);
+            m.start();
+        }
+        return c.until(() -> kind < 3 ? c.ownedBut(o) : c.votesEverywhere(m, 3), 20);
+    }
+
+    private static void full(Cluster c, Cluster.Member o) {
+        o.disk.full(true);
+        c.routers(1);
+    }
+}
