--- a/lib/link/src/main/java/craneway/link/partner/Frame.java
+++ b/lib/link/src/main/java/craneway/link/partner/Frame.java
@@ -15,6 +15,9 @@
     static final int VERSION = 1, HEAD = 14, DATAGRAM = 1_200, MOST = 80 << 20;
     private static final int DEFLATED = 1, DEFLATE_FROM = 300, SUM_AT = 10;
 
+    private static final ThreadLocal<Deflater> DEFLATER = ThreadLocal.withInitial(() -> new Deflater(Deflater.BEST_SPEED, true));
+    private static final ThreadLocal<Inflater> INFLATER = ThreadLocal.withInitial(() -> new Inflater(true));
+
     static int room(byte[] m) { return m.length + 5; }
 
     static byte[] of(long core, List<byte[]> messages) {
@@ -45,17 +48,14 @@
     }
 
     private static byte[] deflated(ByteBuffer plain) {
-        var d = new Deflater(Deflater.BEST_SPEED, true);
-        try {
-            d.setInput(plain.array(), 0, plain.position());
-            d.finish();
-            var out = new ByteArrayOutputStream(plain.position() / 2);
-            var some = new byte[4_096];
-            while (!d.finished()) out.write(some, 0, d.deflate(some));
-            return out.toByteArray();
-        } finally {
-            d.end();
-        }
+        var d = DEFLATER.get();
+        d.reset();
+        d.setInput(plain.array(), 0, plain.position());
+        d.finish();
+        var out = new ByteArrayOutputStream(plain.position() / 2);
+        var some = new byte[Math.min(plain.position(), 64 << 10)];
+        while (!d.finished()) out.write(some, 0, d.deflate(some));
+        return out.toByteArray();
     }
 
     static Frame read(byte[] b) {
@@ -69,7 +69,8 @@
     }
 
     private static byte[] inflated(byte[] body) {
-        var i = new Inflater(true);
+        var i = INFLATER.get();
+        i.reset();
         try {
             i.setInput(body);
             var out = new ByteArrayOutputStream(body.length * 3);
@@ -82,8 +83,6 @@
             return out.toByteArray();
         } catch (DataFormatException e) {
             throw new BadMessage("deflated: " + e.getMessage());
-        } finally {
-            i.end();
         }
     }
 
--- a/lib/link/src/main/java/craneway/link/partner/Wire.java
+++ b/lib/link/src/main/java/craneway/link/partner/Wire.java
@@ -22,8 +22,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -53,6 +55,7 @@
     private final ServerSocketChannel tcp;
     private final ByteBuffer in = ByteBuffer.allocateDirect(65_536);
     private final Map<String, Lane> lanes = new ConcurrentHashMap<>();
+    private final Queue<Lane> due = new ConcurrentLinkedQueue<>();
     private final Set<Stream> streams = new HashSet<>();
     private final AtomicBoolean waiting = new AtomicBoolean();
     private final Thread thread = new Thread(this::run, "wire");
@@ -142,7 +145,7 @@
         if (t < flushAt) return;
         flushAt = 0;
         waiting.set(false);
-        for (var l : lanes.values()) l.flush(t);
+        for (var l = due.poll(); l != null; l = due.poll()) l.flush(t);
         if (t - swept > FORGET) sweep(t);
     }
 
@@ -214,6 +217,7 @@
         private final InetSocketAddress place;
         private final Deque<byte[]> queue = new ArrayDeque<>();
         private final Deque<byte[]> large = new ArrayDeque<>();
+        private final AtomicBoolean marked = new AtomicBoolean();
         private int bytes;
         private long used;
         private Outgoing open;
@@ -224,15 +228,23 @@
             used = now.getAsLong();
         }
 
-        synchronized void add(byte[] m) {
-            queue.add(m);
-            bytes += m.length;
-            while (queue.size() + large.size() > WAITING || bytes > WAITING_BYTES) bytes -= (large.isEmpty() ? queue : large).poll().length;
+        void add(byte[] m) {
+            synchronized (this) {
+                queue.add(m);
+                bytes += m.length;
+                while (queue.size() + large.size() > WAITING || bytes > WAITING_BYTES) bytes -= (large.isEmpty() ? queue : large).poll().length;
+            }
+            mark();
         }
 
+        private void mark() { if (marked.compareAndSet(false, true)) due.add(this); }
+
+        private synchronized boolean laden() { return !large.isEmpty(); }
+
         synchronized boolean idle(long t) { return t - used > FORGET && queue.isEmpty() && large.isEmpty() && open == null; }
 
         void flush(long t) {
+            marked.set(false);
             used = t;
             if (to.equals(address)) {
                 for (var m = next(queue); m != null; m = next(queue)) hand(Codec.readTagged(m));
@@ -287,9 +299,9 @@
         }
 
         private void open() {
-            if (large.isEmpty() || connections() >= CONNECTIONS) return;
+            if (!laden() || connections() >= CONNECTIONS) return;
             var some = new ArrayList<byte[]>();
-            for (var n = 0; n < BATCH && !large.isEmpty(); n += some.get(some.size() - 1).length) some.add(next(large));
+            for (var n = 0; n < BATCH && laden(); n += some.get(some.size() - 1).length) some.add(next(large));
             try {
                 open = new Outgoing(this, Frame.of(core.getAsLong(), some));
             } catch (IOException | RuntimeException e) {
@@ -301,7 +313,8 @@
 
         void over() {
             open = null;
-            if (!large.isEmpty()) waiting.set(true);
+            for (var l : lanes.values()) if (l.laden()) l.mark();
+            if (!due.isEmpty()) waiting.set(true);
         }
     }
 
--- a/lib/link/src/main/java/craneway/link/process/Host.java
+++ b/lib/link/src/main/java/craneway/link/process/Host.java
@@ -12,6 +12,9 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +33,7 @@
     private final Caller caller;
     private final Transport transport;
     private final List<Undertow> servers = new ArrayList<>();
+    private final List<ExecutorService> desks = new CopyOnWriteArrayList<>();
     private volatile boolean closed;
     private final ScheduledExecutorService ticks = Executors.newScheduledThreadPool(5, r -> new Thread(r, "tick"));
 
@@ -80,14 +84,33 @@
     }
 
 
-    public void tick(Runnable each) {
+    public void tick(Runnable each) { tick(each, TICK_MILLIS); }
+
+    public void tick(Runnable each, long millis) {
         ticks.scheduleWithFixedDelay(() -> {
-            try {
-                each.run();
-            } catch (RuntimeException e) {
-                if (!closed) log.internal(e);
-            }
-        }, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+            guarded(each);
+        }, 0, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** A thread of its own for work that may wait for a disk. */
+    public Executor desk(String name) {
+        var d = Executors.newSingleThreadExecutor(r -> daemon(r, name));
+        desks.add(d);
+        return r -> { if (!closed) d.execute(() -> { if (!closed) guarded(r); }); };
+    }
+
+    private static Thread daemon(Runnable r, String name) {
+        var t = new Thread(r, name);
+        t.setDaemon(true);
+        return t;
+    }
+
+    private void guarded(Runnable r) {
+        try {
+            r.run();
+        } catch (RuntimeException e) {
+            if (!closed) log.internal(e);
+        }
     }
 
     public void stopListening() { servers.forEach(Undertow::stop); }
@@ -95,6 +118,7 @@
     public void close() {
         closed = true;
         ticks.shutdownNow();
+        desks.forEach(ExecutorService::shutdown);
         stopListening();
         transport.close();
         worker.shutdownNow();
--- a/test/sim/src/test/java/craneway/sim/CoreTest.java
+++ b/test/sim/src/test/java/craneway/sim/CoreTest.java
@@ -217,6 +217,7 @@
         m.crash();
         m.wall = -60_000;
         m.start();
+        c.run(5);
         c.add("s3", Node.STORE, "z3");
         under(8, c.until(c::owned, 30), c);
     }
