Core: a store replaced while away may take part again; an old life condemns nobody

Cause: a store dropped from a group while it was silent still took itself for a voter and never asked to join again. A delayed message of a node's old life could mark its new disk as lost. Change: a store also asks to join when the owner has been silent towards it for two calm spans; a disk counts as lost only by a newer incarnation. WireCoreTest founds a core over wires.

--- a/lib/control/src/main/java/craneway/control/node/Directory.java
+++ b/lib/control/src/main/java/craneway/control/node/Directory.java
@@ -107,7 +107,8 @@
     public boolean gone(long storeId) { return gone.contains(storeId); }
 
     public void replaced(Node old, Node by) {
-        if (old.storeId != 0 && by.storeId != 0 && old.storeId != by.storeId && old.name.equals(by.name)) gone.add(old.storeId);
+        var newer = old.name.equals(by.name) && by.incarnation > old.incarnation;
+        if (newer && old.storeId != 0 && by.storeId != 0 && old.storeId != by.storeId) gone.add(old.storeId);
     }
 
     public void learn(Node n, long now) {
--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -51,6 +51,7 @@
 public final class Keeper implements Outlet {
     private static final long LAPSE = Membership.LEASE + 300_000, FORGET = 60_000_000, RUNNER_DARK = 3_000_000,
         SUBSCRIBED = 2_000_000, AGE = 1_000_000, WANTED = 2_000_000;
+    private static final long SYNCED = 3_000_000;
     private static final int BUFFER = 20_000;
 
     private static final class Lease {
@@ -142,6 +143,9 @@
 
     public void handOver() { offer(() -> handOver(port.now())); }
 
+    /** Whether this store should ask to take part: it is no member, or its owner has been silent towards it. */
+    public boolean apart(long now) { return !group.members().has(directory.self().storeId) || !group.ownerHeard(now, 2 * pace.calm()); }
+
     public boolean owns() { return group.ready(); }
 
     public Group group() { return group; }
@@ -613,7 +617,7 @@
 
     private boolean storeSynced(Rows.Service s, int cell, long index, long now) {
         var id = voterIn(group.members(), s.zones.get(cell));
-        return id == 0 || id == directory.self().storeId || now - group.heardFrom(id) > pace.settled() || group.matchOf(id) >= index;
+        return id == 0 || id == directory.self().storeId || now - group.heardFrom(id) > SYNCED || group.matchOf(id) >= index;
     }
 
     private void spreadOwners(long now) {
--- a/lib/control/src/main/java/craneway/control/store/Store.java
+++ b/lib/control/src/main/java/craneway/control/store/Store.java
@@ -201,9 +201,9 @@
     private void join(long now) {
         joinDue = now + (rules.pace().lean() ? JOIN / 2 : JOIN);
         for (var k : keepers) {
-            if (k.group().members().has(directory.self().storeId)) continue;
+            if (!k.apart(now)) continue;
             var to = asker.owner(k.group().part());
-            if (to == null) continue;
+            if (to == null || to.name.equals(directory.self().name)) continue;
             var j = new Join();
             j.part = k.group().part();
             j.from = directory.self();
--- /dev/null
+++ b/lib/link/src/test/java/craneway/link/partner/WireCoreTest.java
@@ -0,0 +1,96 @@
+package craneway.link.partner;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import craneway.control.operator.Operator;
+import craneway.control.store.Quorum;
+import craneway.control.store.Rules;
+import craneway.control.store.Store;
+import craneway.link.process.DiskFolder;
+import craneway.link.process.EventLog;
+import craneway.link.process.Host;
+import craneway.model.unit.Pace;
+import craneway.model.unit.Parts;
+import craneway.state.message.Messages.AskVerdict;
+import craneway.state.message.Node;
+import craneway.state.message.Queries;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class WireCoreTest {
+    @TempDir
+    Path root;
+
+    private final List<One> ones = new ArrayList<>();
+
+    private final class One {
+        final String address;
+        final EventLog log;
+        final DiskFolder disk;
+        final Wire wire;
+        final Host host;
+        final Store store;
+        final Operator operator;
+
+        One(String name, String address, List<String> seeds) throws IOException {
+            this.address = address;
+            log = new EventLog(name);
+            disk = new DiskFolder(Files.createDirectories(root.resolve(name)));
+            wire = new Wire(address, this::core, () -> System.nanoTime() / 1000, log);
+            host = new Host(log, 4, wire);
+            var part = host.desk("parts");
+            var rules = new Rules(3, Quorum.THREE, Pace.LEAN, p -> part);
+            store = new Store(host, disk, new Node(name, Node.STORE, "z-" + name, address, 1), seeds, rules, new Random());
+            operator = new Operator(host, store.asker());
+            wire.start(store.directory()::kin, store::receive);
+            host.tick(() -> {
+                store.tick();
+                operator.tick(host.now());
+            });
+        }
+
+        long core() { return store == null ? 0 : store.directory().self().coreId; }
+
+        AskVerdict status(int part) throws Exception {
+            var f = new CompletableFuture<AskVerdict>();
+            store.asker().ask(part, new Queries.Status(), 20_000_000, f::complete);
+            return f.get(30, TimeUnit.SECONDS);
+        }
+    }
+
+    private static String freeAddress() throws IOException {
+        try (var s = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
+            return "127.0.0.1:" + s.getLocalPort();
+        }
+    }
+
+    @AfterEach
+    void close() {
+        ones.forEach(o -> o.host.close());
+        ones.forEach(o -> o.disk.release());
+    }
+
+    @Test
+    void threeStoresFoundACoreAndTakeAManifestOverWires() throws Exception {
+        var seeds = List.of(freeAddress(), freeAddress(), freeAddress());
+        for (var a : seeds) ones.add(new One("s" + (ones.size() + 1), a, seeds));
+        for (var p = 0; p < Parts.COUNT; p++) assertEquals(0, ones.get(p % 3).status(p).kind);
+        var text = Files.readString(Path.of("../../docs/examples/maticar.json"));
+        var taken = new CompletableFuture<Long>();
+        ones.get(1).operator.send(0, text, r -> taken.complete(r.isRight() ? r.get().version() : -1L));
+        assertTrue(taken.get(30, TimeUnit.SECONDS) > 0);
+        for (var o : ones) assertTrue(o.wire.counts().datagrams() > 0);
+    }
+}
--- a/test/sim/src/test/java/craneway/sim/CoreTest.java
+++ b/test/sim/src/test/java/craneway/sim/CoreTest.java
@@ -117,6 +117,33 @@
         under(6, c.until(() -> c.votesEverywhere(s, 3), 20), c);
     }
 
+    @Test
+    void aStoreReplacedWhileAwayIsTakenBackWhenItIsNeeded() {
+        var c = three();
+        var spare = c.add("s4", Node.STORE, "z1");
+        c.run(2);
+        c.get("s1").crash();
+        under(6, c.until(() -> c.votesEverywhere(spare, 3), 20), c);
+        c.get("s1").start();
+        c.run(3);
+        spare.crash();
+        under(6, c.until(() -> c.votesEverywhere(c.get("s1"), 3), 20), c);
+    }
+
+    @Test
+    void aDelayedRenewalOfAnOldLifeCondemnsNobody() {
+        var c = three();
+        var m = c.get("s2");
+        var d = c.owner(0).store.directory();
+        var old = m.store.directory().self().with(1, true);
+        old.storeId = 77;
+        d.replaced(m.store.directory().self(), old);
+        assertFalse(d.gone(m.storeId()));
+        assertFalse(d.gone(77));
+        d.replaced(old, m.store.directory().self());
+        assertTrue(d.gone(77));
+    }
+
     @Test
     void fiveOfSixVoteSpreadOverRegions() {
         var c = six();
