--- a/lib/control/src/main/java/craneway/control/store/Store.java
+++ b/lib/control/src/main/java/craneway/control/store/Store.java
@@ -43,6 +43,7 @@
 
     private final Port port;
     private final Folder folder;
+    private final Rules rules;
     private final Settings settings;
     private final List<String> seeds;
     private Set<String> founders;
@@ -54,22 +55,23 @@
     private long joinDue;
     private long sayDue;
     private long saveDue;
-    private String savedKnown = "";
+    private volatile String savedKnown = "";
 
     public Store(Port port, Folder folder, Node self, List<String> seeds, int expected, Random random) {
-        this(port, folder, self, seeds, Settings.of(expected), random);
+        this(port, folder, self, seeds, Rules.of(expected), random);
     }
 
-    public Store(Port port, Folder folder, Node self, List<String> seeds, Settings settings, Random random) {
+    public Store(Port port, Folder folder, Node self, List<String> seeds, Rules rules, Random random) {
         this.port = port;
         this.folder = folder;
-        this.settings = settings;
+        this.rules = rules;
+        settings = rules.settings();
         this.seeds = seeds;
         this.random = random;
         self.storeId = identity();
-        directory = new Directory(port, self, withKnown(seeds));
+        directory = new Directory(port, self, withKnown(seeds), rules.pace());
         asker = new Asker(port, directory, random.nextLong() >>> 8);
-        membership = new Membership(port, directory, asker);
+        membership = new Membership(port, directory, asker, rules.pace());
         reopen();
         founders = founders();
     }
@@ -140,7 +142,7 @@
         first.generation = f.has(self) ? f.generation : 0;
         var all = new Keeper[Parts.COUNT];
         for (var p = 0; p < all.length; p++)
-            all[p] = new Keeper(p, self, folder, first, port, directory, membership, settings, new Random(random.nextLong()));
+            all[p] = new Keeper(p, self, folder, first, port, directory, membership, rules, new Random(random.nextLong()));
         keepers = all;
     }
 
@@ -216,11 +218,11 @@
     }
 
     private void join(long now) {
-        joinDue = now + JOIN;
+        joinDue = now + (rules.pace().lean() ? JOIN / 2 : JOIN);
         for (var k : keepers) {
-            if (k.group().members().has(directory.self().storeId)) continue;
+            if (!k.apart(now)) continue;
             var to = asker.owner(k.group().part());
-            if (to == null) continue;
+            if (to == null || to.name.equals(directory.self().name)) continue;
             var j = new Join();
             j.part = k.group().part();
             j.from = directory.self();
@@ -231,7 +233,10 @@
     private void saveKnown(long now) {
         saveDue = now + SAVE;
         var text = String.join("\n", directory.stores().stream().map(n -> n.partner).sorted().toList());
-        if (text.equals(savedKnown)) return;
+        if (!text.equals(savedKnown)) rules.desks().apply(Parts.MANIFEST).execute(() -> saveKnown(text));
+    }
+
+    private void saveKnown(String text) {
         try {
             folder.replace(KNOWN, text.getBytes());
             savedKnown = text;
--- a/lib/link/src/main/java/craneway/link/process/Host.java
+++ b/lib/link/src/main/java/craneway/link/process/Host.java
@@ -3,6 +3,7 @@
 import craneway.control.node.Port;
 import craneway.link.http.Caller;
 import craneway.link.partner.Post;
+import craneway.link.partner.Transport;
 import craneway.model.event.Event;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
@@ -11,9 +12,13 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -27,14 +32,20 @@
     private final EventLog log;
     private final XnioWorker worker;
     private final Caller caller;
-    private final Post post;
+    private final Transport transport;
     private final List<Undertow> servers = new ArrayList<>();
+    private final List<ExecutorService> desks = new CopyOnWriteArrayList<>();
     private volatile boolean closed;
     private final ScheduledExecutorService ticks;
 
-    public Host(EventLog log, int threads, LongSupplier core) { this(log, IO_THREADS, threads, TICKS, core); }
+    public Host(EventLog log, int threads, LongSupplier core) { this((c, now) -> new Post(c, core, now), log, IO_THREADS, threads, TICKS); }
 
-    public Host(EventLog log, int io, int threads, int ticking, LongSupplier core) {
+    /** A host whose messages to other processes go over the given transport, which it closes. */
+    public Host(EventLog log, int threads, Transport transport) { this(log, IO_THREADS, threads, TICKS, transport); }
+
+    public Host(EventLog log, int io, int threads, int ticking, Transport transport) { this((c, now) -> transport, log, io, threads, ticking); }
+
+    private Host(BiFunction<Caller, LongSupplier, Transport> transports, EventLog log, int io, int threads, int ticking) {
         ticks = Executors.newScheduledThreadPool(ticking, r -> new Thread(r, "tick"));
         this.log = log;
         try {
@@ -45,15 +56,15 @@
             throw new UncheckedIOException(e);
         }
         caller = new Caller(worker);
-        post = new Post(caller, core, this::now);
-        tick(post::tick);
+        transport = transports.apply(caller, this::now);
+        tick(transport::tick);
     }
 
     @Override
     public long now() { return System.nanoTime() / 1000; }
 
     @Override
-    public void send(String address, Object message) { post.send(address, message); }
+    public void send(String address, Object message) { transport.send(address, message); }
 
     @Override
     public void note(Event e, String detail) { log.note(e, detail); }
@@ -77,14 +88,33 @@
     }
 
 
-    public void tick(Runnable each) {
+    public void tick(Runnable each) { tick(each, TICK_MILLIS); }
+
+    public void tick(Runnable each, long millis) {
         ticks.scheduleWithFixedDelay(() -> {
-            try {
-                each.run();
-            } catch (RuntimeException e) {
-                if (!closed) log.internal(e);
-            }
-        }, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+            guarded(each);
+        }, 0, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** A thread of its own for work that may wait for a disk. */
+    public Executor desk(String name) {
+        var d = Executors.newSingleThreadExecutor(r -> daemon(r, name));
+        desks.add(d);
+        return r -> { if (!closed) d.execute(() -> { if (!closed) guarded(r); }); };
+    }
+
+    private static Thread daemon(Runnable r, String name) {
+        var t = new Thread(r, name);
+        t.setDaemon(true);
+        return t;
+    }
+
+    private void guarded(Runnable r) {
+        try {
+            r.run();
+        } catch (RuntimeException e) {
+            if (!closed) log.internal(e);
+        }
     }
 
     public void stopListening() { servers.forEach(Undertow::stop); }
@@ -92,7 +122,9 @@
     public void close() {
         closed = true;
         ticks.shutdownNow();
+        desks.forEach(ExecutorService::shutdown);
         stopListening();
+        transport.close();
         worker.shutdownNow();
     }
 }
--- a/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
+++ b/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
@@ -2,15 +2,16 @@
 
 import craneway.data.router.Router;
 import craneway.link.pass.PassServer;
-import craneway.link.partner.PartnerDesk;
+import craneway.link.partner.Wire;
 import craneway.link.platform.Vocabulary;
 import craneway.model.event.Event;
+import craneway.model.unit.Pace;
 import craneway.state.message.Node;
 import java.util.Random;
 
 /** The router on a platform that starts it: control as ever, the whole request path without blocking threads. */
 public final class PassRouterProcess implements AutoCloseable {
-    private static final int THREADS = 4;
+    private static final int IO = 1, THREADS = 2, TICKS = 1;
     private static final long LINGER = 5_000_000, MARGIN = 500_000, TELL = 200_000;
 
     private final Seat seat;
@@ -20,11 +21,12 @@
 
     public PassRouterProcess(Seat seat, Vocabulary names, EventLog log) {
         this.seat = seat;
-        host = new Host(log, THREADS, () -> core());
+        var wire = new Wire(seat.partner(), this::core, () -> System.nanoTime() / 1000, log);
+        host = new Host(log, IO, THREADS, TICKS, wire);
         var self = new Node(seat.name(), Node.ROUTER, seat.zone(), seat.partner(), System.currentTimeMillis());
         self.requester = seat.requester();
-        router = new Router(host, self, seat.seeds(), new Random());
-        host.listen(seat.partner(), new PartnerDesk(this::core, router.directory()::kin, router::receive, log), 80L << 20);
+        router = new Router(host, self, seat.seeds(), Pace.LEAN, new Random());
+        wire.start(router.directory()::kin, router::receive);
         server = new PassServer(host::now, router.membership()::view, seat, names, log, this::ready);
         host.tick(router::tick);
         log.note(Event.STARTED, "router zone " + seat.zone() + " requester " + seat.requester() + " partner " + seat.partner());
--- a/lib/link/src/main/java/craneway/link/process/PassStoreProcess.java
+++ b/lib/link/src/main/java/craneway/link/process/PassStoreProcess.java
@@ -2,14 +2,17 @@
 
 import craneway.control.node.Port;
 import craneway.control.operator.Passing;
+import craneway.control.store.Quorum;
+import craneway.control.store.Rules;
 import craneway.control.store.Settings;
 import craneway.control.store.Store;
 import craneway.link.directory.AddressDesk;
 import craneway.link.directory.Whereabouts;
 import craneway.link.operator.PassDesk;
-import craneway.link.partner.PartnerDesk;
+import craneway.link.partner.Wire;
 import craneway.link.platform.Dialect;
 import craneway.model.event.Event;
+import craneway.model.unit.Pace;
 import craneway.model.unit.Parts;
 import craneway.state.message.Codec;
 import craneway.state.message.Node;
@@ -22,7 +25,7 @@
 /** A store on a platform: keeps the core and serves operators, runners and requesters that ask where to go. */
 public final class PassStoreProcess implements AutoCloseable {
     private static final int IO = 2, THREADS = 6, TICKS = 2;
-    private static final long PARTNER_BODY = 80L << 20, CONFIGURATION = 32L << 20, SMALL = 64 << 10, HAND_OVER = 2_000_000,
+    private static final long CONFIGURATION = 32L << 20, SMALL = 64 << 10, HAND_OVER = 2_000_000,
         LAST_REPLIES = 500, FORGOTTEN = 60_000_000;
 
     private final DiskFolder disk;
@@ -32,10 +35,11 @@
     public PassStoreProcess(Seat seat, Dialect dialect, EventLog log) {
         made(seat);
         disk = new DiskFolder(seat.data());
-        host = new Host(log, IO, THREADS, TICKS, this::core);
+        var wire = new Wire(seat.partner(), this::core, () -> System.nanoTime() / 1000, log);
+        host = new Host(log, IO, THREADS, TICKS, wire);
         var self = new Node(seat.name(), Node.STORE, seat.zone(), seat.partner(), System.currentTimeMillis());
-        store = new Store(new Near(seat.partner()), disk, self, seat.seeds(), settings(seat), new Random(new SecureRandom().nextLong()));
-        host.listen(seat.partner(), new PartnerDesk(this::core, store.directory()::kin, store::receive, log), PARTNER_BODY);
+        store = new Store(new Near(seat.partner()), disk, self, seat.seeds(), rules(seat), new Random(new SecureRandom().nextLong()));
+        wire.start(store.directory()::kin, store::receive);
         host.listen(seat.operator(), new PassDesk(dialect, new Passing(store.asker()), seat.zones().keySet(), host.worker()), CONFIGURATION);
         host.listen(seat.directory(), new AddressDesk(dialect, new Whereabouts(store, seat.zones()), seat.bounds().mostTtl()), SMALL);
         host.tick(store::tickNode);
@@ -51,9 +55,10 @@
         }
     }
 
-    private static Settings settings(Seat seat) {
+    private Rules rules(Seat seat) {
         var dark = seat.beat() * 22 / 10 + 300_000;
-        return new Settings(seat.seeds().size(), true, seat.firstStart(), true, dark, FORGOTTEN);
+        var settings = new Settings(seat.seeds().size(), true, seat.firstStart(), dark, FORGOTTEN);
+        return new Rules(settings, Quorum.of(seat.losses(), seat.zones()), Pace.LEAN, p -> host.desk("part " + p));
     }
 
     /** Messages of this store to itself need no wire. */
