Long shared parts have one home for all regions; cells weigh by their slots

Change: region set of the unit by length of the shared part; weight by slots; a burden for reading piled on running streams.

--- a/lib/control/src/main/java/craneway/control/plan/Planner.java
+++ b/lib/control/src/main/java/craneway/control/plan/Planner.java
@@ -12,30 +12,37 @@
     public static int[] wanted(Rows.Service s, BitSet closed, BitSet well) {
         var n = s.homes.length;
         var w = new int[n];
-        for (var u = 0; u < n; u++) w[u] = wanted(s, u, closed, well);
+        var weights = weights(s);
+        for (var u = 0; u < n; u++) w[u] = wanted(s, u, closed, well, weights);
         return w;
     }
 
-    private static int wanted(Rows.Service s, int unit, BitSet closed, BitSet well) {
+    private static int wanted(Rows.Service s, int unit, BitSet closed, BitSet well, int[] weights) {
         var now = s.homes[unit];
         var away = s.displaced(unit);
         if (away != Table.NOWHERE && allowed(s, unit, away) && !closed.get(away) && well.get(away)) return away;
-        var best = pick(s, unit, closed, well);
+        var best = pick(s, unit, closed, well, weights);
         if (best != now && best != Table.NOWHERE && now != Table.NOWHERE && s.heldUntil.containsKey(s.cells.get(best))
             && allowed(s, unit, now) && !closed.get(now) && well.get(now)) return now;
         if (best != Table.NOWHERE) return best;
         if (now != Table.NOWHERE && allowed(s, unit, now) && !closed.get(now)) return now;
-        return pick(s, unit, closed, null);
+        return pick(s, unit, closed, null, weights);
     }
 
-    static int home(Rows.Service s, int unit) { return pick(s, unit, new BitSet(), null); }
+    private static int[] weights(Rows.Service s) {
+        var w = new int[s.cells.size()];
+        for (var c = 0; c < w.length; c++) w[c] = s.weight(c);
+        return w;
+    }
+
+    static int home(Rows.Service s, int unit) { return pick(s, unit, new BitSet(), null, weights(s)); }
 
-    private static int pick(Rows.Service s, int unit, BitSet closed, BitSet well) {
+    private static int pick(Rows.Service s, int unit, BitSet closed, BitSet well, int[] weights) {
         var best = Table.NOWHERE;
         var most = Double.NEGATIVE_INFINITY;
         for (var c = 0; c < s.cells.size(); c++) {
             if (!allowed(s, unit, c) || closed.get(c) || well != null && !well.get(c)) continue;
-            var score = score(unit, s.cells.get(c), s.weights.get(c));
+            var score = score(unit, s.cells.get(c), weights[c]);
             if (score > most) {
                 most = score;
                 best = c;
--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -584,6 +584,7 @@
         var c = new Commands.ServiceSync();
         c.service = s.name();
         c.manifestVersion = version;
+        c.bySlots = s.bySlots();
         c.regions.addAll(m.regions());
         for (var x : s.cells()) {
             c.cells.add(x.name());
--- a/lib/data/src/main/java/craneway/data/placement/Placer.java
+++ b/lib/data/src/main/java/craneway/data/placement/Placer.java
@@ -11,7 +11,8 @@
 
 /**
  * Decides which runner takes a request: the unit's home by the table, and within it the runner that reads the prompt soonest.
- * A unit is (region set, slice of the prompt's last shared part); the set is first the region where the request arrived.
+ * A unit is (region set, slice of the prompt's last shared part). The set is first the region where the request arrived; a long
+ * shared part has one home for all regions, since reading it again costs more than the way there.
  */
 public final class Placer {
     /** Costs are microseconds. */
@@ -19,6 +20,7 @@
 
     private static final double READ = 1_000 / 38.0;
     private static final long ZONE = 15_000, REGION = 110_000, RUNNING = 250, COLD = 400_000, SUSPECT = 5_000_000, STRANGER = 60_000, BROKE = 300_000;
+    private static final int FAR = 2_000, BURDEN = 6_000;
 
     private final Pool pool;
     private final ColdShare cold;
@@ -61,7 +63,7 @@
         var s = pool.view().services().get(service);
         if (s == null) return null;
         var near = s.regions.indexOf(region);
-        if (near >= 0 && (route.regions().isEmpty() || route.regions().contains(region))) {
+        if (near >= 0 && p.sharedTokens() < FAR && (route.regions().isEmpty() || route.regions().contains(region))) {
             var h = zoneOf(s, 1 << near, p);
             if (h != null) return h;
         }
@@ -101,6 +103,7 @@
         c += RUNNING * r.load(now) + (favourite ? 0 : STRANGER / 4);
         if (!r.zone.equals(zone)) c += r.region.equals(region) ? ZONE : REGION;
         if (!home) c += STRANGER;
+        c += 20L * Math.max(0, r.reading() + read - BURDEN) * Math.min(r.load(now), 20);
         if (r.crowded(now)) c += 1_000_000;
         if (r.waiting(now) > 0) c += 50_000L * r.waiting(now);
         if (r.cold(now)) c += COLD;
--- a/lib/data/src/main/java/craneway/data/placement/Prompt.java
+++ b/lib/data/src/main/java/craneway/data/placement/Prompt.java
@@ -47,5 +47,11 @@
         return ids[Math.max(0, ids.length - 2)];
     }
 
+    public int sharedTokens() {
+        var sum = 0;
+        for (var i = 0; i < shared(); i++) sum += tokens[i];
+        return sum;
+    }
+
     public int slice() { return Hash.bucket(Hash.mix(key()), Units.SLICES); }
 }
--- a/lib/model/src/main/java/craneway/model/manifest/Manifest.java
+++ b/lib/model/src/main/java/craneway/model/manifest/Manifest.java
@@ -10,7 +10,7 @@
     public record Engine(String healthPath, int connections, long cold, double coldPerSecond, int slots, long cacheTokens) { }
     public record Limits(int headerBytes, int bodyBytes, long header, long idle) { }
     public record Service(String name, List<Work> work, List<Cell> cells, int buffer, int bodyLimit,
-                          long deadline, long stepPause, int stepUnits, long warmUp, Engine engine) {
+                          long deadline, long stepPause, int stepUnits, long warmUp, Engine engine, boolean bySlots) {
         public Work work(String n) {
             return work.stream().filter(w -> w.name().equals(n)).findFirst().orElse(null);
         }
--- a/lib/model/src/main/java/craneway/model/manifest/ManifestReader.java
+++ b/lib/model/src/main/java/craneway/model/manifest/ManifestReader.java
@@ -101,7 +101,8 @@
                 wrong.add("service " + name + ": a kind of work stands twice");
             var service = new Manifest.Service(name, work, cells, s.path("buffer").asInt(64),
                 s.path("bodyLimit").asInt(262_144), us(s, "deadlineMs", 60_000), us(s, "stepPauseMs", 100),
-                s.path("stepUnits").asInt(25), us(s, "warmUpMs", 5_000), RouteReader.engine(s));
+                s.path("stepUnits").asInt(25), us(s, "warmUpMs", 5_000), RouteReader.engine(s),
+                s.path("weighed").asText("").equals("slots"));
             if (all.put(name, service) != null) wrong.add("service " + name + " stands twice");
         }
         return all;
--- a/lib/state/src/main/java/craneway/state/message/Commands.java
+++ b/lib/state/src/main/java/craneway/state/message/Commands.java
@@ -29,6 +29,7 @@
         public List<String> zones = new ArrayList<>();
         public List<String> cellRegions = new ArrayList<>();
         public List<Integer> weights = new ArrayList<>();
+        public boolean bySlots;
     }
 
     public static final class RunnerPut {
--- a/lib/state/src/main/java/craneway/state/record/Records.java
+++ b/lib/state/src/main/java/craneway/state/record/Records.java
@@ -147,6 +147,7 @@
         if (c.manifestVersion <= s.manifestVersion) return ok();
         s.name = c.service;
         s.manifestVersion = c.manifestVersion;
+        s.bySlots = c.bySlots;
         for (var r : c.regions) if (!s.regions.contains(r) && s.regions.size() < Units.MOST_REGIONS) s.regions.add(r);
         for (var i = 0; i < s.cells.size(); i++) if (!c.cells.contains(s.cells.get(i))) s.weights.set(i, 0);
         for (var i = 0; i < c.cells.size(); i++) putCell(s, c, i);
--- a/lib/state/src/main/java/craneway/state/record/Rows.java
+++ b/lib/state/src/main/java/craneway/state/record/Rows.java
@@ -42,6 +42,8 @@
         public List<String> zones = new ArrayList<>();
         public List<String> cellRegions = new ArrayList<>();
         public List<Integer> weights = new ArrayList<>();
+        /** Whether a cell weighs as much as the slots of its runners. */
+        public boolean bySlots;
         public int[] homes = {};
         public TreeMap<String, Runner> runners = new TreeMap<>();
         public long stepCount;
@@ -60,6 +62,13 @@
             return Table.NOWHERE;
         }
 
+        public int weight(int cell) {
+            if (!bySlots) return weights.get(cell);
+            var sum = 0;
+            for (var r : runners.values()) if (r.state != Runner.LEAVING && r.cell.equals(cells.get(cell))) sum += r.slots;
+            return weights.get(cell) * Math.max(1, sum);
+        }
+
         public boolean live(int cell) { return weights.get(cell) > 0; }
 
         public long runnersUp(int cell) {
