--- a/lib/link/src/main/java/craneway/link/partner/PartnerDesk.java
+++ b/lib/link/src/main/java/craneway/link/partner/PartnerDesk.java
@@ -8,6 +8,7 @@
 import craneway.state.message.Messages.Hello;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -39,6 +40,10 @@
         }), (e, p) -> e.setStatusCode(400).endExchange());
     }
 
+    private static byte[] plain(HttpServerExchange e, byte[] b) {
+        return Packing.NAME.equals(e.getRequestHeaders().getFirst(Headers.CONTENT_ENCODING)) ? Packing.unpack(b) : b;
+    }
+
     private void decline(HttpServerExchange x, String cause) {
         log.note(Event.BAD_MESSAGE, cause);
         x.setStatusCode(403).endExchange();
@@ -47,7 +52,7 @@
     private void greet(HttpServerExchange e, byte[] b, String foreign) {
         var greeted = false;
         try {
-            for (var m : Codec.read(Batch.class, b).messages) {
+            for (var m : Codec.read(Batch.class, plain(e, b)).messages) {
                 if (!(Codec.readTagged(m) instanceof Hello h) || h.from == null || !kin.test(h)) continue;
                 receive.accept(h);
                 greeted = true;
@@ -69,7 +74,7 @@
     private void take(HttpServerExchange e, byte[] b) {
         try {
             if (!Names.check(b).equals(e.getRequestHeaders().getFirst(Names.CHECK))) throw new BadMessage("checksum differs");
-            for (var m : Codec.read(Batch.class, b).messages) receive.accept(Codec.readTagged(m));
+            for (var m : Codec.read(Batch.class, plain(e, b)).messages) receive.accept(Codec.readTagged(m));
             e.setStatusCode(204);
         } catch (BadMessage x) {
             log.note(Event.BAD_MESSAGE, x.getMessage() + " from " + e.getSourceAddress());
--- a/lib/link/src/main/java/craneway/link/partner/Post.java
+++ b/lib/link/src/main/java/craneway/link/partner/Post.java
@@ -3,22 +3,27 @@
 import craneway.link.http.Caller;
 import craneway.link.http.Names;
 import craneway.state.message.Codec;
+import craneway.state.message.Messages.News;
+import craneway.state.part.PartMessage;
 import io.undertow.client.ClientConnection;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 
 public final class Post {
-    private static final int MOST = 4_000, MOST_BYTES = 64 << 20, BATCH_BYTES = 1 << 20;
+    private static final int MOST = 4_000, MOST_BYTES = 64 << 20, BATCH_BYTES = 1 << 20, LARGE = 16 << 10;
     private static final long CONNECT_MILLIS = 500, PATIENCE = 2_000_000;
 
     private final Caller caller;
     private final LongSupplier core;
     private final LongSupplier now;
+    private volatile boolean packing;
     private final Map<String, Lane> lanes = new ConcurrentHashMap<>();
 
     public Post(Caller caller, LongSupplier core, LongSupplier now) {
@@ -28,9 +33,22 @@
     }
 
     public void send(String address, Object message) {
-        lanes.computeIfAbsent(address, Lane::new).send(Codec.writeTagged(message));
+        var b = Codec.writeTagged(message);
+        lane(address, address + kind(message), b.length >= LARGE).send(b);
     }
 
+    /** Large messages must not hold up what is small and urgent; what follows them in the same part keeps its order. */
+    private Lane lane(String address, String aside, boolean large) {
+        var own = lanes.get(aside);
+        if (large || own != null && own.busy()) return lanes.computeIfAbsent(aside, k -> new Lane(address));
+        return lanes.computeIfAbsent(address, Lane::new);
+    }
+
+    private static String kind(Object m) { return m instanceof PartMessage p ? "/part" + p.part : m instanceof News ? "/news" : ""; }
+
+    /** Large batches go packed from now on; every partner must be of a version that unpacks them. */
+    public void packing() { packing = true; }
+
     public void tick() {
         for (var l : lanes.values()) l.tick();
     }
@@ -52,6 +70,8 @@
             if (call == null) next();
         }
 
+        synchronized boolean busy() { return call != null; }
+
         synchronized void tick() {
             if (call == null || now.getAsLong() - since < PATIENCE) return;
             call.cancel();
@@ -70,9 +90,12 @@
             }
             bytes -= n;
             since = now.getAsLong();
-            var body = Codec.write(b);
-            call = caller.keep(kept, address, Methods.POST, "/partner", Map.of(Names.WIRE, Names.WIRE_VERSION, Names.CORE,
-                Long.toHexString(core.getAsLong()), Names.CHECK, Names.check(body)), body, CONNECT_MILLIS, this);
+            var plain = Codec.write(b);
+            var packed = packing && plain.length >= Packing.FROM;
+            var body = packed ? Packing.pack(plain) : plain;
+            var headers = new HashMap<>(Map.of(Names.WIRE, Names.WIRE_VERSION, Names.CORE, Long.toHexString(core.getAsLong()), Names.CHECK, Names.check(body)));
+            if (packed) headers.put(Headers.CONTENT_ENCODING, Packing.NAME);
+            call = caller.keep(kept, address, Methods.POST, "/partner", headers, body, CONNECT_MILLIS, this);
         }
 
         private synchronized void over(boolean keep) {
--- a/lib/link/src/main/java/craneway/link/process/Host.java
+++ b/lib/link/src/main/java/craneway/link/process/Host.java
@@ -58,6 +58,9 @@
     @Override
     public void note(Event e, String detail) { log.note(e, detail); }
 
+    /** Large batches to partners go packed from now on. */
+    public void packing() { post.packing(); }
+
     public EventLog log() { return log; }
 
     public Caller caller() { return caller; }
--- a/lib/link/src/main/java/craneway/link/process/PassStoreProcess.java
+++ b/lib/link/src/main/java/craneway/link/process/PassStoreProcess.java
@@ -33,6 +33,7 @@
         made(seat);
         disk = new DiskFolder(seat.data());
         host = new Host(log, IO, THREADS, TICKS, this::core);
+        host.packing();
         var self = new Node(seat.name(), Node.STORE, seat.zone(), seat.partner(), System.currentTimeMillis());
         store = new Store(new Near(seat.partner()), disk, self, seat.seeds(), settings(seat), new Random(new SecureRandom().nextLong()));
         host.listen(seat.partner(), new PartnerDesk(this::core, store.directory()::kin, store::receive, log), PARTNER_BODY);
