--- a/lib/link/src/main/java/craneway/link/partner/Post.java
+++ b/lib/link/src/main/java/craneway/link/partner/Post.java
@@ -32,6 +32,9 @@
         lanes.computeIfAbsent(address, Lane::new).send(Codec.writeTagged(message));
     }
 
+    @Override
+    public boolean ticks() { return true; }
+
     @Override
     public void tick() {
         for (var l : lanes.values()) l.tick();
--- a/lib/link/src/main/java/craneway/link/partner/Transport.java
+++ b/lib/link/src/main/java/craneway/link/partner/Transport.java
@@ -4,6 +4,9 @@
 public interface Transport {
     void send(String address, Object message);
 
+    /** Whether it wants to be ticked. */
+    default boolean ticks() { return false; }
+
     default void tick() { }
 
     default void close() { }
--- a/lib/link/src/main/java/craneway/link/process/Host.java
+++ b/lib/link/src/main/java/craneway/link/process/Host.java
@@ -53,7 +53,7 @@
         }
         caller = new Caller(worker);
         transport = transports.apply(caller, this::now);
-        tick(transport::tick);
+        if (transport.ticks()) tick(transport::tick);
     }
 
     @Override
--- a/lib/state/src/main/java/craneway/state/part/Group.java
+++ b/lib/state/src/main/java/craneway/state/part/Group.java
@@ -28,6 +28,7 @@
         long sent = Long.MIN_VALUE;
         long heard;
         long bulk;
+        long bulkSent = Long.MIN_VALUE;
         long bulkUntil = Long.MIN_VALUE;
     }
 
@@ -344,6 +345,7 @@
 
     private static void bulk(Partner p, long upTo, int bytes, long now) {
         p.bulk = upTo;
+        p.bulkSent = now;
         p.bulkUntil = now + BULK_PATIENCE + bytes;
     }
 
@@ -474,7 +476,8 @@
             p.match = Math.max(p.match, m.index);
             p.next = Math.max(p.next, p.match + 1);
             if (p.match >= p.bulk) p.bulkUntil = Long.MIN_VALUE;
-        } else if (now >= p.bulkUntil) {
+        } else if (now >= p.bulkUntil || m.stamp == p.bulkSent) {
+            p.bulkUntil = Long.MIN_VALUE;
             p.next = Math.max(p.match + 1, Math.min(p.next - 1, m.index + 1));
         }
         advance();
--- a/test/sim/src/test/java/craneway/sim/GroupTest.java
+++ b/test/sim/src/test/java/craneway/sim/GroupTest.java
@@ -150,6 +150,20 @@
         assertEquals(1, owner.counter.applied);
     }
 
+    @Test
+    void aFollowerWhoseLargeEntriesWereNeverCommittedIsBroughtIntoLine() {
+        var old = elect(3);
+        var id = ones.indexOf(old) + 1;
+        drop = m -> m.from == id || m.to == id;
+        for (var i = 0; i < 20; i++) propose(old, 2_000);
+        run(4_000_000);
+        var owner = ones.stream().filter(o -> o != old && o.group.role() == Role.OWNER).findFirst().orElseThrow();
+        for (var i = 0; i < 30; i++) propose(owner, 2_000);
+        drop = m -> false;
+        run(3_000_000);
+        for (var o : ones) assertEquals(30, o.counter.applied);
+    }
+
     @Test
     void anOwnerThatCannotHandOverGoesOnOwning() {
         var owner = elect(3);
