Core: two of six disks lost while all others lose power, round after round

Cause: the larger core had no test of what it must outlive. Change: twelve rounds of a manifest acknowledged, two random stores without their disks, power loss for the others, and a return within 1.3 s; six founders settle on five voters. Result: each round reads back what was acknowledged and has five live voters again within 6 s.

--- a/test/sim/src/test/java/craneway/sim/CoreTest.java
+++ b/test/sim/src/test/java/craneway/sim/CoreTest.java
@@ -12,6 +12,8 @@
 import craneway.state.message.Node;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -156,6 +158,14 @@
         }
     }
 
+    @Test
+    void sixFoundersSettleOnFiveVoters() {
+        var c = new Cluster(Pace.LEAN, Quorum.of(2, REGIONS));
+        c.founders = 6;
+        c.stores("z1", "z2", "z3", "z4", "z5", "z6");
+        under(12, c.until(() -> c.owned() && fiveLive(c), 20), c);
+    }
+
     @Test
     void aLostRegionLeavesAMajority() {
         for (var region : Set.of("a", "b", "c")) {
@@ -174,10 +184,7 @@
         voters.forEach(v -> c.get(v).loseDisk());
         c.run(0.7);
         voters.forEach(v -> c.get(v).start());
-        under(6, c.until(() -> {
-            for (var p = 0; p < Parts.COUNT; p++) if (c.owner(p) == null || c.voters(p).size() != 5 || c.voters(p).contains("?")) return false;
-            return true;
-        }, 20), c);
+        under(6, c.until(() -> fiveLive(c), 20), c);
     }
 
     @Test
@@ -202,6 +209,37 @@
         }
     }
 
+    @Test
+    void whatWasAcknowledgedOutlivesTwoLostDisksOfSixAndPowerLossOfAllOthers() throws Exception {
+        var text = Files.readString(Path.of(CoreTest.class.getResource("/craneway/sim/maticar.json").toURI()));
+        var c = six();
+        var last = 0L;
+        for (var round = 0; round < 12; round++) {
+            var version = new long[1];
+            var changed = text.replaceFirst("\"claimRetentionMs\": \\d+", "\"claimRetentionMs\": " + (3_600_000 + round));
+            c.get("s" + (1 + round % 6)).operator.send(last, changed, r -> version[0] = r.isRight() ? r.get().version() : -1);
+            c.until(() -> version[0] != 0, 20);
+            var is = round;
+            assertTrue(version[0] > last, () -> "round " + is + ": " + version[0] + "\n" + String.join("\n", c.notes));
+            last = version[0];
+            var lost = new HashSet<>(List.of("s" + (1 + c.sim.random.nextInt(6)), "s" + (1 + c.sim.random.nextInt(6))));
+            for (var m : c.members.values()) {
+                if (lost.contains(m.name)) m.loseDisk();
+                else m.losePower();
+            }
+            c.run(0.3 + c.sim.random.nextDouble());
+            c.members.values().forEach(Cluster.Member::start);
+            under(4, c.until(() -> c.owner(0) != null, 15), c);
+            assertEquals(last, c.owner(0).store.keepers()[0].records().rows().manifest.version);
+            under(6, c.until(() -> fiveLive(c), 15), c);
+        }
+    }
+
+    private static boolean fiveLive(Cluster c) {
+        for (var p = 0; p < Parts.COUNT; p++) if (c.owner(p) == null || c.voters(p).size() != 5 || c.voters(p).contains("?")) return false;
+        return true;
+    }
+
     @Test
     void lostDatagramsAreMadeUpFor() {
         var c = three();
