--- a/lib/link/src/test/java/craneway/link/partner/WireTest.java
+++ b/lib/link/src/test/java/craneway/link/partner/WireTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 
 class WireTest {
+    private static final java.util.concurrent.atomic.AtomicInteger PORT = new java.util.concurrent.atomic.AtomicInteger(24_000);
     private final List<Wire> open = new ArrayList<>();
 
     private final class End {
@@ -50,11 +51,16 @@
         String note() throws InterruptedException { return notes.poll(10, TimeUnit.SECONDS); }
     }
 
+    /** A port below the range of outgoing connections, free for both UDP and TCP. */
     private static String freeAddress() {
-        try (var s = new DatagramSocket(new InetSocketAddress("127.0.0.1", 0))) {
-            return "127.0.0.1:" + s.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+        while (true) {
+            var p = PORT.getAndIncrement();
+            var at = new InetSocketAddress("127.0.0.1", p);
+            try (var s = new DatagramSocket(at); var t = new java.net.ServerSocket(p, 1, at.getAddress())) {
+                return "127.0.0.1:" + p;
+            } catch (IOException e) {
+                if (p > 26_000) throw new IllegalStateException(e);
+            }
         }
     }
 
--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -12,6 +12,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -21,6 +23,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** One router's request path between raw sockets: a requester on one side, fake runners on the other. */
 final class Bed implements AutoCloseable {
@@ -41,6 +44,7 @@
         String text() { return new String(body, java.nio.charset.StandardCharsets.ISO_8859_1); }
     }
 
+    private static final AtomicInteger PORT = new AtomicInteger(21_000);
     final List<String> noted = new CopyOnWriteArrayList<>();
     final PassServer server;
     final Seat seat;
@@ -70,9 +74,15 @@
             new HttpString("Cold"), new HttpString("Urgency"), new HttpString("Last-Event-Id"), "/ready", "/report");
     }
 
+    /** A port below the range of outgoing connections. */
     private static String free() throws IOException {
-        try (var s = new ServerSocket(0)) {
-            return "127.0.0.1:" + s.getLocalPort();
+        while (true) {
+            var p = PORT.getAndIncrement();
+            try (var s = new ServerSocket(p, 1, InetAddress.getByName("127.0.0.1"))) {
+                return "127.0.0.1:" + p;
+            } catch (BindException e) {
+                if (p > 23_000) throw e;
+            }
         }
     }
 
