--- a/lib/link/src/main/java/craneway/link/pass/Passage.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passage.java
@@ -20,7 +20,7 @@
 final class Passage {
     private enum State { PLACING, SENT, ANSWERING, OVER }
 
-    private static final long CONNECT = 400_000, AGAIN = 25_000, FIRST = 250_000, GAP = 280_000, SILENT = 600_000;
+    private static final long CONNECT = 400_000, AGAIN = 25_000, FIRST = 300_000, GAP = 600_000;
 
     private final Passages all;
     private final HttpServerExchange x;
@@ -155,7 +155,7 @@
         var since = state == State.SENT ? sentAt : heardAt;
         var bound = state == State.SENT ? FIRST + 2 * choice.cost() : GAP;
         if (now - since < bound || now - r.heardAt() < bound || r.heardAt() > since && state == State.SENT) return;
-        if (state == State.SENT || now - since > SILENT) r.suspect(now);
+        r.suspect(now);
         if (state == State.SENT ? route.repeatable() : events != null && events.lastId() != null) elsewhere(now);
     }
 
