Routers tell one another what they gave a runner to read; long prompts wait or stay

Change: a reading notice to the routers of the region, a draining level for each runner, reading again weighed dearer, a long prompt waits up to 0.4 of its target.

--- a/lib/data/src/main/java/craneway/data/placement/Placer.java
+++ b/lib/data/src/main/java/craneway/data/placement/Placer.java
@@ -18,9 +18,9 @@
     /** Costs are microseconds. */
     public record Choice(Runner runner, int read, long cost) { }
 
-    private static final double READ = 1_000 / 38.0;
+    private static final double READ = 1_000 / 30.0, AGAIN = READ + 45;
     private static final long ZONE = 15_000, REGION = 110_000, RUNNING = 250, COLD = 400_000, SUSPECT = 5_000_000, STRANGER = 60_000, BROKE = 300_000;
-    private static final int FAR = 2_000, BURDEN = 6_000;
+    private static final int FAR = 2_000, SHORT = 1_000, BURDEN = 7_000;
 
     private final Pool pool;
     private final ColdShare cold;
@@ -98,12 +98,13 @@
 
     private Choice cost(Runner r, Prompt p, boolean favourite, boolean home, long now) {
         var missing = r.missing(p);
-        var read = r.own(p) + missing;
-        var c = (long) (READ * (r.own(p) + (favourite ? missing / 3 : missing) + r.reading()));
+        var level = r.level(now);
+        var read = r.own(p) + (favourite ? missing / 3 : missing);
+        var c = (long) (READ * (r.own(p) + level) + AGAIN * (favourite ? missing / 4 : missing));
         c += RUNNING * r.load(now) + (favourite ? 0 : STRANGER / 4);
         if (!r.zone.equals(zone)) c += r.region.equals(region) ? ZONE : REGION;
         if (!home) c += STRANGER;
-        c += 20L * Math.max(0, r.reading() + read - BURDEN) * Math.min(r.load(now), 20);
+        c += 40L * Math.max(0, (long) level + read - BURDEN) * Math.min(r.load(now), 10);
         if (r.crowded(now)) c += 1_000_000;
         if (r.waiting(now) > 0) c += 50_000L * r.waiting(now);
         if (r.cold(now)) c += COLD;
@@ -112,15 +113,17 @@
         return new Choice(r, read, c);
     }
 
+    /** Whether it is better to wait a little than to pile a long prompt on running streams. */
+    public boolean crowds(Choice c, long now) {
+        return c.read() > SHORT && c.runner().level(now) + c.read() > 2 * BURDEN && c.runner().load(now) > 0;
+    }
+
     public void started(Choice c, Prompt p, long now) {
-        c.runner().started(p, c.read());
+        c.runner().started(p, c.read(), now);
         c.runner().probed(now);
         if (c.runner().cold(now)) cold.sent(c.runner().id(), now);
     }
 
-    /** The first token came: what was to be read is read. */
-    public void read(Choice c) { c.runner().read(c.read()); }
-
     public void ended(Choice c, Prompt p) { c.runner().ended(p); }
 
     public Collection<String> routers() { return pool.routers(); }
--- a/lib/data/src/main/java/craneway/data/placement/Pool.java
+++ b/lib/data/src/main/java/craneway/data/placement/Pool.java
@@ -68,6 +68,18 @@
         return all;
     }
 
+    public Runner named(String id) { return runners.get(id); }
+
+    /** Partner addresses of the other routers in these regions. */
+    public List<String> partners(String self, String one, String other) {
+        var all = new ArrayList<String>();
+        for (var n : view.members().get(Parts.MANIFEST)) {
+            var g = view.manifest().regionOfZone(n.zone);
+            if (n.isRouter() && n.serving && !n.name.equals(self) && (one.equals(g) || other.equals(g))) all.add(n.partner);
+        }
+        return all;
+    }
+
     public Membership.View view() { return view; }
     public Collection<String> routers() { return routers; }
     public Collection<Runner> all() { return runners.values(); }
--- a/lib/data/src/main/java/craneway/data/placement/Runner.java
+++ b/lib/data/src/main/java/craneway/data/placement/Runner.java
@@ -7,6 +7,7 @@
 /** What one router knows of one life of a runner. Times are microseconds of the steady clock. */
 public final class Runner {
     private static final long REPORT_FRESH = 2_000_000, QUIET = 2_500_000;
+    private static final double RATE = 0.03;
 
     public final String service;
     public final String zone;
@@ -17,7 +18,8 @@
     private final Map<Long, Integer> kept = new LinkedHashMap<>(64, 0.75f, true);
     private long keptTokens;
     private int running;
-    private long reading;
+    private double level;
+    private long levelAt = Long.MIN_VALUE / 2;
     private long held;
     private int othersRunning;
     private int othersWaiting;
@@ -42,7 +44,6 @@
     public String id() { return row.name; }
     public String address() { return row.address; }
     public int running() { return running; }
-    public long reading() { return reading; }
     public boolean cold(long now) { return row.cold || now < coldUntil; }
 
     /** Tokens of a prompt's shared parts that this runner probably does not keep. */
@@ -62,9 +63,9 @@
         return Math.max(0, sum);
     }
 
-    void started(Prompt p, int read) {
+    void started(Prompt p, int read, long now) {
         running++;
-        reading += read;
+        reading(read, now);
         held += p.in() + p.out();
         for (var i = 0; i < p.shared(); i++) {
             if (kept.put(p.ids()[i], p.tokens()[i]) == null) keptTokens += p.tokens()[i];
@@ -77,7 +78,14 @@
         }
     }
 
-    void read(int tokens) { reading -= tokens; }
+    /** Some router has sent it a prompt of which this many tokens are still to be read. */
+    public void reading(int tokens, long now) {
+        level = level(now) + tokens;
+        levelAt = now;
+    }
+
+    /** Tokens that are probably still to be read there, by what all routers told and the rate at which runners read. */
+    double level(long now) { return levelAt == Long.MIN_VALUE / 2 ? 0 : Math.max(0, level - (now - levelAt) * RATE); }
 
     void ended(Prompt p) {
         running--;
--- a/lib/data/src/main/java/craneway/data/router/Router.java
+++ b/lib/data/src/main/java/craneway/data/router/Router.java
@@ -15,6 +15,7 @@
 import craneway.state.message.Messages.AskVerdict;
 import craneway.state.message.Messages.Hello;
 import craneway.state.message.Messages.News;
+import craneway.state.message.Messages.Reading;
 import craneway.state.message.Messages.RenewVerdict;
 import craneway.state.message.Messages.Subscribe;
 import craneway.state.message.Node;
@@ -32,6 +33,7 @@
     private final Membership membership;
     private final Loads loads = new Loads();
     private final Executor executor;
+    private volatile Consumer<Reading> reading = r -> { };
 
     public Router(Port port, Node self, List<String> seeds, Random random) { this(port, self, seeds, Pace.STEADY, random); }
 
@@ -50,6 +52,9 @@
     public Executor executor() { return executor; }
     public Loads loads() { return loads; }
 
+    /** Who hears what other routers gave runners to read. */
+    public void onReading(Consumer<Reading> then) { reading = then; }
+
     public boolean ready() { return directory.self().serving && membership.usable(port.now()); }
 
     public void unready() { membership.unready(); }
@@ -77,6 +82,7 @@
         else if (m instanceof Subscribe s) membership.receive(s, now);
         else if (m instanceof News n) membership.receive(n, now);
         else if (m instanceof AskVerdict v) asker.receive(v);
+        else if (m instanceof Reading r) reading.accept(r);
         else port.note(Event.BAD_MESSAGE, "a router takes no " + m.getClass().getSimpleName());
     }
 
--- a/lib/link/src/main/java/craneway/link/pass/PassServer.java
+++ b/lib/link/src/main/java/craneway/link/pass/PassServer.java
@@ -4,11 +4,13 @@
 import craneway.link.platform.Vocabulary;
 import craneway.link.process.Seat;
 import craneway.model.event.Log;
+import craneway.state.message.Messages.Reading;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -26,7 +28,7 @@
     private final Undertow readiness;
     private volatile boolean leaving;
 
-    public PassServer(LongSupplier now, Supplier<View> view, Seat seat, Vocabulary names, Log log, BooleanSupplier ready) {
+    public PassServer(LongSupplier now, Supplier<View> view, Seat seat, Vocabulary names, Log log, BooleanSupplier ready, BiConsumer<String, Object> send) {
         try {
             worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 2)
@@ -34,7 +36,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        all = new Passages(worker.getIoThread(), now, view, seat, names, log);
+        all = new Passages(worker.getIoThread(), now, view, seat, names, log, send);
         desk = new PassDesk(all);
         requesters = listen(seat.requester(), desk);
         readiness = listen(seat.readiness(), x -> {
@@ -59,6 +61,9 @@
         return u;
     }
 
+    /** What another router gave a runner to read. */
+    public void heard(Reading m) { worker.getIoThread().execute(() -> all.heard(m)); }
+
     public int open() { return all.open(); }
 
     public void leave() {
--- a/lib/link/src/main/java/craneway/link/pass/Passage.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passage.java
@@ -36,7 +36,6 @@
     private State state = State.PLACING;
     private Placer.Choice choice;
     private RunnerCall call;
-    private boolean reading;
     private long sentAt;
     private long heardAt;
     private int sends;
@@ -84,6 +83,7 @@
         }
         var c = all.placer().choose(route, service, prompt, tried, now);
         if (c == null) waitOrDecline(now);
+        else if (all.placer().crowds(c, now) && now - begun < route.target() * 4 / 10 && sends == 0) wake = all.after(AGAIN, this::place);
         else send(c, now);
     }
 
@@ -109,9 +109,9 @@
         sends++;
         tried.add(c.runner().id());
         state = State.SENT;
-        reading = true;
         sentAt = now;
         all.placer().started(c, prompt, now);
+        all.tell(c);
         call = new RunnerCall(all.connections(), c.runner().address(), request(c, now), body, new Heard(c));
         call.start(true, CONNECT);
     }
@@ -134,8 +134,6 @@
 
     private void release() {
         if (choice == null) return;
-        if (reading) all.placer().read(choice);
-        reading = false;
         all.placer().ended(choice, prompt);
         choice = null;
     }
@@ -143,9 +141,6 @@
     private void heard() {
         heardAt = all.now();
         choice.runner().heard(heardAt);
-        if (!reading) return;
-        reading = false;
-        all.placer().read(choice);
     }
 
     /** Looks at the runner's silence; what may be repeated goes on elsewhere, everything else waits for its end. */
--- a/lib/link/src/main/java/craneway/link/pass/Passages.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passages.java
@@ -11,11 +11,13 @@
 import craneway.model.event.Event;
 import craneway.model.event.Log;
 import craneway.model.manifest.Route;
+import craneway.state.message.Messages.Reading;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.xnio.XnioExecutor;
@@ -24,11 +26,14 @@
 /** All open requests of one router, and what they share. One I/O thread. */
 final class Passages {
     private static final long LOOK = 40_000, SWEEP = 500_000;
+    private static final int TOLD = 1_000;
 
     private final XnioIoThread io;
     private final LongSupplier now;
     private final Supplier<View> view;
     private final Vocabulary names;
+    private final Seat seat;
+    private final BiConsumer<String, Object> send;
     private final Log log;
     private final RunnerConnections connections;
     private final Pool pool = new Pool();
@@ -38,7 +43,9 @@
     private volatile boolean closed;
     private long swept;
 
-    Passages(XnioIoThread io, LongSupplier now, Supplier<View> view, Seat seat, Vocabulary names, Log log) {
+    Passages(XnioIoThread io, LongSupplier now, Supplier<View> view, Seat seat, Vocabulary names, Log log, BiConsumer<String, Object> send) {
+        this.seat = seat;
+        this.send = send;
         this.io = io;
         this.now = now;
         this.view = view;
@@ -97,6 +104,20 @@
         }
     }
 
+    /** Tells the routers that use this runner what it has to read. */
+    void tell(Placer.Choice c) {
+        if (c.read() < TOLD) return;
+        var m = new Reading();
+        m.runner = c.runner().id();
+        m.tokens = c.read();
+        for (var a : pool.partners(seat.name(), c.runner().region, seat.region())) send.accept(a, m);
+    }
+
+    void heard(Reading m) {
+        var r = pool.named(m.runner);
+        if (r != null && m.tokens > 0) r.reading(m.tokens, now());
+    }
+
     /** Another life has this address. */
     void misdirected(Runner r) { r.gone(); }
 
--- a/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
+++ b/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
@@ -27,7 +27,8 @@
         self.requester = seat.requester();
         router = new Router(host, self, seat.seeds(), Pace.LEAN, new Random());
         wire.start(router.directory()::kin, router::receive);
-        server = new PassServer(host::now, router.membership()::view, seat, names, log, this::ready);
+        server = new PassServer(host::now, router.membership()::view, seat, names, log, this::ready, host::send);
+        router.onReading(server::heard);
         host.tick(router::tick);
         log.note(Event.STARTED, "router zone " + seat.zone() + " requester " + seat.requester() + " partner " + seat.partner());
     }
--- a/lib/state/src/main/java/craneway/state/message/Messages.java
+++ b/lib/state/src/main/java/craneway/state/message/Messages.java
@@ -78,6 +78,12 @@
         public byte[] body;
     }
 
+    /** A router tells the others what it gave a runner to read, in tokens. */
+    public static final class Reading {
+        public String runner = "";
+        public int tokens;
+    }
+
     public static final class Join {
         public int part;
         public Node from;
--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -65,7 +65,7 @@
         publish();
         var bounds = new Seat.Bounds(4_000_000, 3_000_000, 8_000_000, 3_000_000, 5_000_000, 0.2, 10_000_000, 60, 1.5, 5, 400_000, 5_000_000);
         seat = new Seat("r1", "a", "ra", Map.of("a", "ra", "b", "rb"), free(), free(), null, null, "127.0.0.1:1", List.of(), false, null, 1, 1_200_000, bounds);
-        server = new PassServer(() -> System.nanoTime() / 1000, () -> view, seat, names(), (Event e, String d) -> noted.add(e.code() + " " + d), () -> true);
+        server = new PassServer(() -> System.nanoTime() / 1000, () -> view, seat, names(), (Event e, String d) -> noted.add(e.code() + " " + d), () -> true, (a, m) -> { });
     }
 
     static Vocabulary names() {
