--- a/lib/data/src/main/java/craneway/data/placement/Placer.java
+++ b/lib/data/src/main/java/craneway/data/placement/Placer.java
@@ -16,7 +16,12 @@
  */
 public final class Placer {
     /** Costs are microseconds. */
-    public record Choice(Runner runner, int read, long cost) { }
+    public record Choice(Runner runner, int read, long cost, boolean favourite, boolean home, int level, int load) {
+        public String about() {
+            return "runner " + runner.id() + " in " + runner.zone + (favourite ? " favourite" : "") + (home ? " home" : "") + ", read " + read
+                + ", level " + level + ", load " + load + ", cost " + cost / 1000 + " ms";
+        }
+    }
 
     private static final double READ = 1_000 / 30.0, AGAIN = READ + 45;
     private static final long ZONE = 15_000, REGION = 110_000, RUNNING = 250, COLD = 400_000, SUSPECT = 5_000_000, STRANGER = 60_000, BROKE = 300_000;
@@ -110,7 +115,7 @@
         if (r.cold(now)) c += COLD;
         if (r.suspected(now)) c += SUSPECT;
         if (r.brokeLately(now)) c += BROKE;
-        return new Choice(r, read, c);
+        return new Choice(r, read, c, favourite, home, (int) level, r.load(now));
     }
 
     /** Whether it is better to wait a little than to pile a long prompt on running streams. */
--- a/lib/link/src/main/java/craneway/link/pass/PassDesk.java
+++ b/lib/link/src/main/java/craneway/link/pass/PassDesk.java
@@ -7,6 +7,8 @@
 
 /** Takes a requester's request whole and hands it to its passage. */
 final class PassDesk implements HttpHandler {
+    private static final long PATIENCE = 400_000, AGAIN = 20_000;
+
     private final Passages all;
     private boolean leaving;
 
@@ -17,16 +19,22 @@
     @Override
     public void handleRequest(HttpServerExchange x) {
         if (leaving) x.setPersistent(false);
-        x.getRequestReceiver().receiveFullBytes((e, b) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> begin(e, b)),
+        x.getRequestReceiver().receiveFullBytes((e, b) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> begin(e, b, all.now())),
             (e, problem) -> e.setStatusCode(400).endExchange());
     }
 
-    private void begin(HttpServerExchange x, byte[] body) {
+    /** A router that has just started has its manifest in a moment. */
+    private void unready(HttpServerExchange x, byte[] body, ClientAnswer answer, long since) {
+        if (all.now() - since < PATIENCE) all.after(AGAIN, () -> begin(x, body, since));
+        else answer.own(503, "1.5", "{\"problem\":\"no manifest is in force here yet\"}");
+    }
+
+    private void begin(HttpServerExchange x, byte[] body, long since) {
         all.refresh();
         var m = all.pool().view() == null ? null : all.pool().view().manifest();
         var answer = new ClientAnswer(x, () -> { });
         if (m == null) {
-            answer.own(503, "1", "{\"problem\":\"no manifest is in force here yet\"}");
+            unready(x, body, answer, since);
             return;
         }
         if (body.length > m.limits().bodyBytes()) {
@@ -36,6 +44,6 @@
         var route = m.routes().match(x.getRequestHeaders().getFirst(Headers.HOST), x.getRequestURI());
         if (route == null) answer.own(404, null, "{\"problem\":\"no route\"}");
         else if (x.getRequestHeaders().getFirst(all.names().tryId()) == null) answer.own(400, null, "{\"problem\":\"" + all.names().tryId() + " is missing\"}");
-        else new Passage(all, x, route, body, all.now()).begin();
+        else new Passage(all, x, route, body, since).begin();
     }
 }
--- a/lib/link/src/main/java/craneway/link/pass/Passage.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passage.java
@@ -38,6 +38,9 @@
     private RunnerCall call;
     private long sentAt;
     private long heardAt;
+    private long firstAt;
+    private long gap;
+    private String about = "";
     private int sends;
     private boolean stream;
     private Events events;
@@ -112,6 +115,7 @@
         sentAt = now;
         all.placer().started(c, prompt, now);
         all.tell(c);
+        about = c.about();
         call = new RunnerCall(all.connections(), c.runner().address(), request(c, now), body, new Heard(c));
         call.start(true, CONNECT);
     }
@@ -139,7 +143,10 @@
     }
 
     private void heard() {
-        heardAt = all.now();
+        var now = all.now();
+        if (firstAt == 0) firstAt = now;
+        else gap = Math.max(gap, now - heardAt);
+        heardAt = now;
         choice.runner().heard(heardAt);
     }
 
@@ -220,6 +227,12 @@
         else answer.own(503, all.retryAfter(route, service), "{\"problem\":\"the deadline passed; it did not run\"}");
     }
 
+    private void tellSlow() {
+        if (firstAt - begun <= route.target() && (route.pause() == 0 || gap <= route.pause())) return;
+        all.slow(route.name() + " first " + (firstAt - begun) / 1000 + " ms, sent after " + (sentAt - begun) / 1000 + " ms, pause " + gap / 1000
+            + " ms, sends " + sends + ", tokens " + prompt.in() + ", " + about);
+    }
+
     private void cut(String cause) {
         release();
         over();
@@ -322,6 +335,7 @@
                 var rest = events.rest();
                 if (rest.length > 0) answer.write(ByteBuffer.wrap(rest));
             }
+            tellSlow();
             release();
             over();
             answer.end();
--- a/lib/link/src/main/java/craneway/link/pass/Passages.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passages.java
@@ -26,7 +26,7 @@
 /** All open requests of one router, and what they share. One I/O thread. */
 final class Passages {
     private static final long LOOK = 40_000, SWEEP = 500_000;
-    private static final int TOLD = 1_000;
+    private static final int TOLD = 1_000, SLOW = 5;
 
     private final XnioIoThread io;
     private final LongSupplier now;
@@ -42,6 +42,8 @@
     private final Set<Passage> open = new HashSet<>();
     private volatile boolean closed;
     private long swept;
+    private long slowSecond;
+    private int slowSaid;
 
     Passages(XnioIoThread io, LongSupplier now, Supplier<View> view, Seat seat, Vocabulary names, Log log, BiConsumer<String, Object> send) {
         this.seat = seat;
@@ -104,6 +106,12 @@
         }
     }
 
+    void slow(String detail) {
+        if (now() / 1_000_000 != slowSecond) slowSaid = 0;
+        slowSecond = now() / 1_000_000;
+        if (slowSaid++ < SLOW) log.note(Event.SLOW_ANSWER, detail);
+    }
+
     /** Tells the routers that use this runner what it has to read. */
     void tell(Placer.Choice c) {
         if (c.read() < TOLD) return;
--- a/lib/model/src/main/java/craneway/model/event/Event.java
+++ b/lib/model/src/main/java/craneway/model/event/Event.java
@@ -33,6 +33,7 @@
     RUNNER_DARK(1703, "runner gone dark"),
     BAD_MESSAGE(1801, "message between processes declined"),
     CUT_STREAM(1901, "stream cut"),
+    SLOW_ANSWER(1902, "answer later than its target"),
     INTERNAL(1999, "unexpected problem inside");
 
     private final int code;
