Long prompts read on runners of their own where regions are shared

Change: cells weigh less for a wide region set where narrower ones share the region; there a part of the runners reads long prompts.

--- a/lib/control/src/main/java/craneway/control/plan/Planner.java
+++ b/lib/control/src/main/java/craneway/control/plan/Planner.java
@@ -42,7 +42,7 @@
         var most = Double.NEGATIVE_INFINITY;
         for (var c = 0; c < s.cells.size(); c++) {
             if (!allowed(s, unit, c) || closed.get(c) || well != null && !well.get(c)) continue;
-            var score = score(unit, s.cells.get(c), weights[c]);
+            var score = score(unit, s.cells.get(c), weights[c] / squared(s.sharing(c, Units.regionSet(unit))));
             if (score > most) {
                 most = score;
                 best = c;
@@ -51,11 +51,14 @@
         return best;
     }
 
+    /** Narrower sets come first where they share a region. */
+    private static double squared(int n) { return n * n; }
+
     private static boolean allowed(Rows.Service s, int unit, int cell) {
         return s.live(cell) && Units.allows(Units.regionSet(unit), s.regions.indexOf(s.cellRegions.get(cell)));
     }
 
-    private static double score(int unit, String cell, int weight) {
+    private static double score(int unit, String cell, double weight) {
         var h = Hash.of(Units.slice(unit), Hash.of(cell)) >>> 11;
         return weight / -StrictMath.log((h + 0.5) / (1L << 53));
     }
--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -585,6 +585,7 @@
         c.service = s.name();
         c.manifestVersion = version;
         c.bySlots = s.bySlots();
+        c.bound.addAll(m.routes().bound(s.name()));
         c.regions.addAll(m.regions());
         for (var x : s.cells()) {
             c.cells.add(x.name());
--- a/lib/data/src/main/java/craneway/data/placement/Placer.java
+++ b/lib/data/src/main/java/craneway/data/placement/Placer.java
@@ -24,7 +24,7 @@
     }
 
     private static final double READ = 1_000 / 30.0, AGAIN = READ + 45;
-    private static final long ZONE = 15_000, REGION = 110_000, RUNNING = 250, COLD = 400_000, SUSPECT = 5_000_000, STRANGER = 60_000, BROKE = 300_000;
+    private static final long ZONE = 15_000, REGION = 110_000, RUNNING = 250, COLD = 400_000, SUSPECT = 5_000_000, STRANGER = 60_000, BROKE = 300_000, READS = 300_000, STREAMS = 120_000;
     private static final int FAR = 2_000, SHORT = 1_000, BURDEN = 7_000;
 
     private final Pool pool;
@@ -91,7 +91,7 @@
         Runner best = null;
         var most = 0L;
         for (var r : pool.of(service)) {
-            if (!allowed(route, r) || home != null && !r.zone.equals(home)) continue;
+            if (!allowed(route, r) || home != null && !r.zone.equals(home) || r.mixed && r.reader != p.isLong()) continue;
             var w = Rendezvous.weight(p.key(), r.id());
             if (best == null || Long.compareUnsigned(w, most) > 0) {
                 best = r;
@@ -108,6 +108,7 @@
         var c = (long) (READ * (r.own(p) + level) + AGAIN * (favourite ? missing / 4 : missing));
         c += RUNNING * r.load(now) + (favourite ? 0 : STRANGER / 4);
         if (!r.zone.equals(zone)) c += r.region.equals(region) ? ZONE : REGION;
+        if (r.mixed && r.reader != p.isLong()) c += p.isLong() ? READS : STREAMS;
         if (!home) c += STRANGER;
         c += 40L * Math.max(0, (long) level + read - BURDEN) * Math.min(r.load(now), 10);
         if (r.crowded(now)) c += 1_000_000;
--- a/lib/data/src/main/java/craneway/data/placement/Pool.java
+++ b/lib/data/src/main/java/craneway/data/placement/Pool.java
@@ -2,11 +2,13 @@
 
 import craneway.control.node.Membership;
 import craneway.model.manifest.Manifest;
+import craneway.model.unit.Hash;
 import craneway.model.unit.Parts;
 import craneway.state.message.Plan;
 import craneway.state.record.Rows;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -38,12 +40,33 @@
             all.put(s.name, list);
         }
         runners.keySet().retainAll(ids);
+        all.forEach((n, list) -> readers(v.manifest(), n, list));
         services = all;
         emptied = emptied(v.topic().marks);
         routers = routers(v);
         return true;
     }
 
+    /**
+     * Where narrower region sets share a region, some of its runners read the long prompts and the others carry short ones, so that
+     * reading does not hold up streams.
+     */
+    private static void readers(Manifest m, String service, List<Runner> all) {
+        var bound = m.routes().bound(service);
+        var zones = new HashMap<String, List<Runner>>();
+        for (var r : all) if (r.row.up()) zones.computeIfAbsent(r.zone, k -> new ArrayList<>()).add(r);
+        for (var r : all) r.reader = true;
+        zones.forEach((zone, list) -> {
+            var region = list.get(0).region;
+            var sharing = 1 + (int) bound.stream().filter(b -> List.of(b.split(" ")).contains(region)).count();
+            if (sharing == 1 || list.size() < 2) return;
+            list.sort(Comparator.comparingLong(r -> Hash.of(r.id())));
+            var n = Math.max(1, Math.round((float) list.size() / (sharing * sharing)));
+            for (var i = 0; i < list.size(); i++) list.get(i).reader = i < n;
+            for (var r : list) r.mixed = true;
+        });
+    }
+
     private Runner met(Rows.Service s, Rows.Runner row, Manifest.Engine e) {
         var r = runners.get(row.name);
         if (r == null) {
--- a/lib/data/src/main/java/craneway/data/placement/Prompt.java
+++ b/lib/data/src/main/java/craneway/data/placement/Prompt.java
@@ -5,7 +5,7 @@
 
 /** The parts of a prompt in order, by id and tokens; the last one is the request's own. Bad input reads as no parts. */
 public record Prompt(long[] ids, int[] tokens, int in, int out) {
-    private static final int MOST = 64, MOST_TOKENS = 100_000_000;
+    private static final int MOST = 64, LONG = 4_000, MOST_TOKENS = 100_000_000;
 
     public static Prompt of(String parts, String inOut) {
         var in = 0;
@@ -53,5 +53,8 @@
         return sum;
     }
 
+    /** Reading it holds up every stream of its runner for a while. */
+    public boolean isLong() { return in >= LONG; }
+
     public int slice() { return Hash.bucket(Hash.mix(key()), Units.SLICES); }
 }
--- a/lib/data/src/main/java/craneway/data/placement/Runner.java
+++ b/lib/data/src/main/java/craneway/data/placement/Runner.java
@@ -30,6 +30,8 @@
     private long probed = Long.MIN_VALUE / 2;
     long coldUntil = Long.MIN_VALUE / 2;
     boolean stale;
+    boolean reader = true;
+    boolean mixed;
     private long brokeAt = Long.MIN_VALUE / 2;
 
     Runner(String service, String region, String zone, Rows.Runner row, int slots, long cacheTokens) {
--- a/lib/model/src/main/java/craneway/model/manifest/Routes.java
+++ b/lib/model/src/main/java/craneway/model/manifest/Routes.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeSet;
 
 /** Finds the route of a host with the longest prefix of a path; prefixes begin and end with a slash. */
 public final class Routes {
@@ -17,6 +18,16 @@
 
     public int count() { return count; }
 
+    /** The region sets that routes to this service are bound to, each its names in order, once. */
+    public Collection<String> bound(String service) {
+        var all = new TreeSet<String>();
+        for (var h : hosts.values())
+            for (var r : h.values())
+                if (!r.regions().isEmpty() && r.shares().stream().anyMatch(s -> s.service().equals(service)))
+                    all.add(String.join(" ", r.regions().stream().sorted().toList()));
+        return all;
+    }
+
     public Collection<Map<String, Route>> all() { return hosts.values(); }
 
     public Route match(String host, String path) {
--- a/lib/state/src/main/java/craneway/state/message/Commands.java
+++ b/lib/state/src/main/java/craneway/state/message/Commands.java
@@ -30,6 +30,8 @@
         public List<String> cellRegions = new ArrayList<>();
         public List<Integer> weights = new ArrayList<>();
         public boolean bySlots;
+        /** The region sets that routes to it are bound to, each a list of names. */
+        public List<String> bound = new ArrayList<>();
     }
 
     public static final class RunnerPut {
--- a/lib/state/src/main/java/craneway/state/record/Records.java
+++ b/lib/state/src/main/java/craneway/state/record/Records.java
@@ -149,6 +149,7 @@
         s.manifestVersion = c.manifestVersion;
         s.bySlots = c.bySlots;
         for (var r : c.regions) if (!s.regions.contains(r) && s.regions.size() < Units.MOST_REGIONS) s.regions.add(r);
+        s.sets = c.bound.stream().mapToInt(b -> set(s, b)).distinct().toArray();
         for (var i = 0; i < s.cells.size(); i++) if (!c.cells.contains(s.cells.get(i))) s.weights.set(i, 0);
         for (var i = 0; i < c.cells.size(); i++) putCell(s, c, i);
         var old = s.homes;
@@ -159,6 +160,12 @@
         return ok();
     }
 
+    private static int set(Rows.Service s, String names) {
+        var set = 0;
+        for (var n : names.split(" ")) if (s.regions.contains(n)) set |= 1 << s.regions.indexOf(n);
+        return set;
+    }
+
     private static void putCell(Rows.Service s, Commands.ServiceSync c, int i) {
         var at = s.cells.indexOf(c.cells.get(i));
         if (at < 0) {
--- a/lib/state/src/main/java/craneway/state/record/Rows.java
+++ b/lib/state/src/main/java/craneway/state/record/Rows.java
@@ -44,6 +44,8 @@
         public List<Integer> weights = new ArrayList<>();
         /** Whether a cell weighs as much as the slots of its runners. */
         public boolean bySlots;
+        /** Region sets in use, as bits over the list of regions. */
+        public int[] sets = {};
         public int[] homes = {};
         public TreeMap<String, Runner> runners = new TreeMap<>();
         public long stepCount;
@@ -69,6 +71,15 @@
             return weights.get(cell) * Math.max(1, sum);
         }
 
+        /** How many region sets in use share this cell's region: the set itself and all narrower ones. */
+        public int sharing(int cell, int set) {
+            if (!bySlots) return 1;
+            var region = regions.indexOf(cellRegions.get(cell));
+            var n = 1;
+            for (var s : sets) if (s != set && (s & set) == s && (s >> region & 1) == 1) n++;
+            return n;
+        }
+
         public boolean live(int cell) { return weights.get(cell) > 0; }
 
         public long runnersUp(int cell) {
