--- a/lib/control/src/main/java/craneway/control/node/Directory.java
+++ b/lib/control/src/main/java/craneway/control/node/Directory.java
@@ -16,7 +16,7 @@
 
 public final class Directory {
     public static final long STALE = 3_000_000, FORGET = 60_000_000;
-    private static final long SEARCH = 250_000;
+    private static final long SEARCH = 80_000;
 
     public static final class Known {
         public volatile Node node;
--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -51,7 +51,7 @@
 public final class Keeper implements Outlet {
     private static final long LAPSE = Membership.LEASE + 300_000, FORGET = 60_000_000,
         SUBSCRIBED = 2_000_000, AGE = 1_000_000, WANTED = 2_000_000;
-    private static final long SYNCED = 3_000_000;
+    private static final long SYNCED = 3_000_000, GATHER = 3_500_000;
     private static final int BUFFER = 20_000;
 
     private static final class Lease {
@@ -641,7 +641,7 @@
     }
 
     private void spreadOwners(long now) {
-        if (now - owningSince < pace.settled()) return;
+        if (now - owningSince < (pace.lean() ? GATHER : pace.settled())) return;
         var m = group.members();
         var to = wantedOwner(m);
         if (to == 0 || to == directory.self().storeId || m.voters.length != quorum.voters() || m.learner != 0) return;
--- a/lib/state/src/main/java/craneway/state/part/Group.java
+++ b/lib/state/src/main/java/craneway/state/part/Group.java
@@ -1,6 +1,7 @@
 package craneway.state.part;
 
 import craneway.model.event.Event;
+import craneway.model.unit.Hash;
 import craneway.model.unit.Pace;
 import craneway.state.disk.DiskProblem;
 import craneway.state.disk.Folder;
@@ -17,7 +18,7 @@
 import java.util.Set;
 
 public final class Group {
-    private static final long AILING_PAUSE = 500_000, AGAIN = 200_000, BULK_PATIENCE = 300_000;
+    private static final long AILING_PAUSE = 500_000, AGAIN = 200_000, BULK_PATIENCE = 300_000, WAKE = 80_000;
     private static final int BATCH = 256, BATCH_BYTES = 1 << 20, BULK = 1_000;
     private static final byte[] NONE = {};
 
@@ -42,6 +43,7 @@
     private final Pace pace;
     private final Map<Long, Partner> partners = new HashMap<>();
     private final Set<Long> yes = new HashSet<>();
+    private final Set<Long> unsure = new HashSet<>();
     private final List<PartMessage> pending = new ArrayList<>();
 
     private SegmentLog log;
@@ -51,6 +53,7 @@
     private Role role = Role.FOLLOWER;
     private long owner;
     private long heardOwner;
+    private long youngUntil;
     private long due;
     private long commit;
     private long applied;
@@ -70,6 +73,9 @@
         this.random = random;
         this.out = out;
         open(now);
+        heardOwner = Long.MIN_VALUE / 2;
+        youngUntil = now + pace.lease();
+        due = now + WAKE + (long) (random.nextDouble() * WAKE);
         if (first.votes(self) && first.generation > onDisk()) rebuild(now);
     }
 
@@ -139,10 +145,12 @@
         var from = role;
         role = to;
         yes.clear();
+        unsure.clear();
         handingOver = 0;
         handingTo = 0;
-        due = now + pace.calm() + (long) (random.nextDouble() * pace.spread());
-        if (to == Role.SOUNDING || to == Role.CANDIDATE) due = now + AGAIN + (long) (random.nextDouble() * AGAIN);
+        due = patience(now);
+        var pause = to == Role.SOUNDING && young(now) ? WAKE : AGAIN;
+        if (to == Role.SOUNDING || to == Role.CANDIDATE) due = now + pause + (long) (random.nextDouble() * pause);
         if (to == Role.AILING) due = now + AILING_PAUSE;
         if (from == Role.OWNER && readySaid) {
             readySaid = false;
@@ -151,6 +159,11 @@
         if (to == Role.OWNER) becomeOwner(now);
     }
 
+    private long patience(long now) {
+        var share = pace.lean() ? Hash.bucket(Hash.of(self, now >> 20), 1 << 16) / 65_536.0 : random.nextDouble();
+        return now + pace.calm() + (long) (share * pace.spread());
+    }
+
     public void tick(long now) {
         if (role == Role.AILING) {
             if (now >= due) reopen(now);
@@ -214,12 +227,18 @@
 
     private void sound(long now) {
         move(Role.SOUNDING, now);
-        yes.add(self);
+        (young(now) ? unsure : yes).add(self);
         for (var v : members.voters) if (v != self) pending.add(ask(PartMessage.SOUND, v, log.term() + 1));
+        tally(now);
+    }
+
+    private void tally(long now) {
+        unsure.addAll(yes);
         if (yes.size() >= members.majority()) stand(now, false);
+        else if (unsure.size() == members.voters.length) stand(now, true);
     }
 
-    private void stand(long now, boolean handed) {
+    private void stand(long now, boolean sure) {
         move(Role.CANDIDATE, now);
         owner = 0;
         log.hard(log.term() + 1, self);
@@ -227,7 +246,7 @@
         for (var v : members.voters) {
             if (v == self) continue;
             var m = ask(PartMessage.VOTE, v, log.term());
-            m.yes = handed;
+            m.yes = sure;
             pending.add(m);
         }
         if (yes.size() >= members.majority()) move(Role.OWNER, now);
@@ -365,7 +384,7 @@
             sounded(m, now);
             return;
         }
-        if (m.kind == PartMessage.VOTE && !m.yes && calm(now)) return;
+        if (m.kind == PartMessage.VOTE && !m.yes && (calm(now) || young(now))) return;
         if (m.term > log.term() && m.kind != PartMessage.SOUND_REPLY) {
             log.hard(m.term, 0);
             owner = 0;
@@ -387,6 +406,9 @@
         return role == Role.OWNER ? now < quorumStamp() + pace.calm() : now < heardOwner + pace.calm();
     }
 
+    /** Whether this voter has started so lately that an owner it had heard before may still hold its lease. */
+    private boolean young(long now) { return role != Role.OWNER && now < youngUntil; }
+
     private boolean upToDate(PartMessage m) {
         var t = log.termAt(log.last());
         return m.logTerm > t || m.logTerm == t && m.index >= log.last();
@@ -394,11 +416,21 @@
 
     private void sounded(PartMessage m, long now) {
         var r = message(PartMessage.SOUND_REPLY, m.from, m.term);
-        r.yes = m.term > log.term() && upToDate(m) && !calm(now);
+        var mine = now < youngUntil + pace.lease() && prior(m);
+        if (mine && role == Role.FOLLOWER) due = now;
+        r.young = young(now);
+        r.yes = m.term > log.term() && upToDate(m) && !calm(now) && !mine;
         r.index = log.term();
         pending.add(r);
     }
 
+    /** After a start, of equal logs the last owner's goes first, then the lowest id, so that not all stand at once. */
+    private boolean prior(PartMessage m) {
+        if (m.logTerm != log.termAt(log.last()) || m.index != log.last() || !members.votes(self)) return false;
+        var lower = self < m.from && log.vote() != m.from && (log.vote() != 0 || log.term() == 0);
+        return log.vote() == self || lower;
+    }
+
     private void soundReply(PartMessage m, long now) {
         if (m.index > log.term()) {
             log.hard(m.index, 0);
@@ -406,8 +438,8 @@
             return;
         }
         if (role != Role.SOUNDING || !m.yes || m.term != log.term() + 1 || !members.votes(m.from)) return;
-        yes.add(m.from);
-        if (yes.size() >= members.majority()) stand(now, false);
+        (m.young ? unsure : yes).add(m.from);
+        tally(now);
     }
 
     private void voteAsked(PartMessage m, long now) {
@@ -415,7 +447,7 @@
         r.yes = m.term == log.term() && (log.vote() == 0 || log.vote() == m.from) && role == Role.FOLLOWER && upToDate(m);
         if (r.yes) {
             if (log.vote() == 0) log.hard(log.term(), m.from);
-            due = now + pace.calm() + (long) (random.nextDouble() * pace.spread());
+            due = patience(now);
         }
         pending.add(r);
     }
@@ -429,8 +461,9 @@
     private void follow(PartMessage m, long now) {
         owner = m.from;
         heardOwner = now;
+        youngUntil = now;
         if (role != Role.FOLLOWER) move(Role.FOLLOWER, now);
-        due = now + pace.calm() + (long) (random.nextDouble() * pace.spread());
+        due = patience(now);
     }
 
     private void appendAsked(PartMessage m, long now) {
--- a/lib/state/src/main/java/craneway/state/part/PartMessage.java
+++ b/lib/state/src/main/java/craneway/state/part/PartMessage.java
@@ -19,4 +19,5 @@
     public boolean yes;
     public List<Entry> entries = new ArrayList<>();
     public Image image;
+    public boolean young;
 }
--- a/test/sim/src/test/java/craneway/sim/Cluster.java
+++ b/test/sim/src/test/java/craneway/sim/Cluster.java
@@ -112,7 +112,7 @@
             if (sim.random.nextDouble() < lost) return;
             meter.sent(this, to, message);
             var b = Codec.writeTagged(message);
-            sim.after(DELAY, () -> arrive(to, b, mine, message instanceof Hello));
+            sim.after(delay, () -> arrive(to, b, mine, message instanceof Hello));
         }
 
         private void arrive(String to, byte[] b, long core, boolean hello) {
@@ -136,6 +136,7 @@
     final Quorum quorum;
     int founders = 3;
     double lost;
+    long delay = DELAY;
     List<String> seeds = List.of("s1", "s2", "s3");
 
     Cluster(Pace pace, Quorum quorum) {
@@ -190,6 +191,11 @@
 
     boolean owned() { return ownedBut(null); }
 
+    boolean ownedBy(Member m) {
+        for (var p = 0; p < Parts.COUNT; p++) if (owner(p) != m) return false;
+        return true;
+    }
+
     Set<String> voters(int part) {
         var all = new HashSet<String>();
         var g = owner(part).store.keepers()[part].group();
--- a/test/sim/src/test/java/craneway/sim/ControlCost.java
+++ b/test/sim/src/test/java/craneway/sim/ControlCost.java
@@ -28,6 +28,7 @@
         mended("owner's disk is full", 2);
         mended("a store back without its disk votes on all parts", 3);
         mended("the owner back without its disk votes on all parts", 4);
+        mended("all stores back after power loss, 35 ms apart: one owner of all parts", 5);
     }
 
     private static void row(Pace pace, int nodes, String text) {
@@ -52,11 +53,14 @@
     }
 
     private static double mend(int kind, int seed) {
-        var c = new Cluster(Pace.LEAN, Quorum.THREE).stores("z1", "z2", "z3");
+        var c = new Cluster(Pace.LEAN, Quorum.THREE);
+        c.sim.random.setSeed(seed);
+        c.stores("z1", "z2", "z3");
         c.until(c::owned, 20);
         c.run(5 + seed * 0.037);
         var o = c.owner(0);
         var m = kind == 3 ? c.members.values().stream().filter(x -> x != o).findFirst().get() : o;
+        if (kind == 5) return lights(c);
         if (kind == 0) o.crash();
         else if (kind == 1) o.hang(true);
         else if (kind == 2) full(c, o);
@@ -68,6 +72,16 @@
         return c.until(() -> kind < 3 ? c.ownedBut(o) : c.votesEverywhere(m, 3), 20);
     }
 
+    private static double lights(Cluster c) {
+        c.delay = 35_000;
+        c.run(4);
+        c.members.values().forEach(Cluster.Member::losePower);
+        c.run(1.4);
+        c.members.values().forEach(m -> c.sim.after((long) (c.sim.random.nextDouble() * 160_000), m::start));
+        c.run(0.16);
+        return c.until(() -> c.owned() && c.ownedBy(c.owner(0)), 20);
+    }
+
     private static void full(Cluster c, Cluster.Member o) {
         o.disk.full(true);
         c.routers(1);
--- a/test/sim/src/test/java/craneway/sim/CoreTest.java
+++ b/test/sim/src/test/java/craneway/sim/CoreTest.java
@@ -58,6 +58,67 @@
         }
     }
 
+    private static final long FAR = 35_000;
+
+    private static void lights(Cluster c, boolean on) {
+        for (var m : c.members.values()) {
+            if (!on) m.losePower();
+            else c.sim.after((long) (c.sim.random.nextDouble() * 160_000), m::start);
+        }
+    }
+
+    @Test
+    void storesThatAllStartAgainElectOneOwnerAtOnce() {
+        for (var seed = 0; seed < 30; seed++) {
+            var c = three();
+            c.delay = FAR;
+            c.run(4 + seed * 0.037);
+            lights(c, false);
+            c.run(1.4);
+            lights(c, true);
+            c.run(0.16);
+            under(0.55, c.until(c::owned, 5), c);
+            var o = c.owner(0);
+            assertTrue(c.ownedBy(o), () -> String.join("\n", c.notes));
+            c.run(6);
+            assertTrue(c.ownedBy(o), () -> String.join("\n", c.notes));
+            assertEquals(Parts.COUNT, c.notes.stream().filter(n -> n.contains(" OWNER ") && since(n, c) < 6.8).count(), () -> String.join("\n", c.notes));
+        }
+    }
+
+    private static double since(String note, Cluster c) { return c.sim.now() / 1e6 - Long.parseLong(note.substring(0, note.indexOf(' '))) / 1e3; }
+
+    @Test
+    void twoOfThreeThatStartAgainElectAnOwnerOnceAnOldLeaseIsOver() {
+        for (var seed = 0; seed < 20; seed++) {
+            var c = three();
+            c.delay = FAR;
+            c.run(seed * 0.037);
+            lights(c, false);
+            c.run(0.7);
+            for (var m : c.members.values()) if (!m.name.equals("s" + (1 + seed % 3))) m.start();
+            under(1.2, c.until(c::owned, 5), c);
+        }
+    }
+
+    @Test
+    void aStoreThatStartsAgainDisturbsNoOwner() {
+        for (var seed = 0; seed < 20; seed++) {
+            var c = three();
+            c.delay = FAR;
+            c.run(4);
+            var o = c.owner(0);
+            var m = c.members.values().stream().filter(x -> x != o).skip(seed % 2).findFirst().get();
+            m.crash();
+            c.run(0.3 + seed * 0.01);
+            m.start();
+            for (var i = 0; i < 60; i++) {
+                c.run(0.02);
+                assertTrue(c.ownedBy(o), () -> String.join("\n", c.notes));
+            }
+        }
+    }
+
     @Test
     void anOwnerWhoseDiskHangsIsReplacedAndGoesOnSayingHello() {
         var c = three();
