As many runners read long prompts as the zone's reading needs; one prompt at a time

Change: readers by a zone's measured reading; a long prompt waits while more than 8 k tokens would be piled up.

--- a/lib/data/src/main/java/craneway/data/placement/Placer.java
+++ b/lib/data/src/main/java/craneway/data/placement/Placer.java
@@ -25,7 +25,7 @@
 
     private static final double READ = 1_000 / 30.0, AGAIN = READ + 45;
     private static final long ZONE = 15_000, REGION = 110_000, RUNNING = 25, COLD = 400_000, SUSPECT = 5_000_000, STRANGER = 60_000, BROKE = 300_000, READS = 300_000, STREAMS = 120_000;
-    private static final int FAR = 2_000, SHORT = 1_000, BURDEN = 7_000;
+    private static final int FAR = 2_000, SHORT = 1_000, BURDEN = 8_000, QUEUE = 1_500;
 
     private final Pool pool;
     private final ColdShare cold;
@@ -121,11 +121,13 @@
 
     /** Whether it is better to wait a little than to pile a long prompt on running streams. */
     public boolean crowds(Choice c, long now) {
-        return c.read() > SHORT && c.runner().level(now) + c.read() > 2 * BURDEN && c.runner().load(now) > 0;
+        return c.read() > SHORT && c.runner().level(now) > QUEUE && c.runner().level(now) + c.read() > BURDEN;
     }
 
     public void started(Choice c, Prompt p, long now) {
-        c.runner().started(p, c.read(), now);
+        c.runner().started(p, now);
+        if (c.read() >= SHORT) pool.told(c.runner(), c.read(), now);
+        else c.runner().reading(c.read(), now);
         c.runner().probed(now);
         if (c.runner().cold(now)) cold.sent(c.runner().id(), now);
     }
--- a/lib/data/src/main/java/craneway/data/placement/Pool.java
+++ b/lib/data/src/main/java/craneway/data/placement/Pool.java
@@ -17,9 +17,11 @@
 
 /** The runners as the newest view names them; lives that the view drops are forgotten. Not thread-safe: one thread asks. */
 public final class Pool {
+    private static final int FEW = 40;
     private final Map<String, Runner> runners = new HashMap<>();
     private Map<String, List<Runner>> services = Map.of();
     private Set<String> emptied = Set.of();
+    private final Map<String, Reading> readings = new HashMap<>();
     private Membership.View view;
     private List<String> routers = List.of();
 
@@ -40,33 +42,74 @@
             all.put(s.name, list);
         }
         runners.keySet().retainAll(ids);
-        all.forEach((n, list) -> readers(v.manifest(), n, list));
         services = all;
         emptied = emptied(v.topic().marks);
         routers = routers(v);
         return true;
     }
 
+    /** Some router gave this runner tokens to read. */
+    public void told(Runner r, int tokens, long now) {
+        r.reading(tokens, now);
+        readings.computeIfAbsent(r.service + "/" + r.zone, k -> new Reading()).add(tokens, now);
+    }
+
     /**
-     * Where narrower region sets share a region, some of its runners read the long prompts and the others carry short ones, so that
-     * reading does not hold up streams.
+     * In a zone of a region that narrower region sets share, some of the runners read the long prompts and the others carry the
+     * short ones, so that reading does not hold up streams; as many read as the zone's reading needs.
      */
-    private static void readers(Manifest m, String service, List<Runner> all) {
-        var bound = m.routes().bound(service);
-        var zones = new HashMap<String, List<Runner>>();
-        for (var r : all) if (r.row.up()) zones.computeIfAbsent(r.zone, k -> new ArrayList<>()).add(r);
-        for (var r : all) r.reader = true;
-        zones.forEach((zone, list) -> {
-            var region = list.get(0).region;
-            var sharing = 1 + (int) bound.stream().filter(b -> List.of(b.split(" ")).contains(region)).count();
-            if (sharing == 1 || list.size() < 2) return;
-            list.sort(Comparator.comparingLong(r -> Hash.of(r.id())));
-            var n = Math.max(1, Math.round((float) list.size() / (sharing * sharing)));
-            for (var i = 0; i < list.size(); i++) list.get(i).reader = i < n;
-            for (var r : list) r.mixed = true;
+    public void seat(long now) {
+        services.forEach((service, all) -> {
+            var bound = view.manifest().routes().bound(service);
+            var zones = new HashMap<String, List<Runner>>();
+            for (var r : all) if (r.row.up()) zones.computeIfAbsent(r.zone, k -> new ArrayList<>()).add(r);
+            zones.forEach((zone, list) -> seat(list, bound, readings.computeIfAbsent(service + "/" + zone, k -> new Reading()), now));
         });
     }
 
+    private static void seat(List<Runner> list, Collection<String> bound, Reading reading, long now) {
+        var region = list.get(0).region;
+        var shared = bound.stream().anyMatch(b -> List.of(b.split(" ")).contains(region));
+        var n = shared ? reading.readers(list.size(), now) : list.size();
+        list.sort(Comparator.comparingLong(r -> Hash.of(r.id())));
+        for (var i = 0; i < list.size(); i++) {
+            list.get(i).reader = i < n;
+            list.get(i).mixed = n < list.size();
+        }
+    }
+
+    /** How much a zone's runners are given to read, and how many of them it takes. */
+    private static final class Reading {
+        private static final double ONE = 12_000, FEWER = 7_000, SPAN = 3_000_000;
+        private static final long CALM = 5_000_000;
+        private double rate;
+        private long at;
+        private int readers = 1;
+        private long enough;
+
+        void add(int tokens, long now) {
+            rate = rate(now) + tokens / (SPAN / 1_000_000);
+            at = now;
+        }
+
+        private double rate(long now) { return at == 0 ? 0 : rate * Math.exp(-(now - at) / SPAN); }
+
+        int readers(int most, long now) {
+            var r = rate(now);
+            if (r > ONE * readers && readers < most) {
+                readers++;
+                enough = now;
+            }
+            if (r > FEWER * (readers - 1)) enough = now;
+            if (readers > 1 && now - enough > CALM) {
+                readers--;
+                enough = now;
+            }
+            readers = Math.max(1, Math.min(readers, most));
+            return readers;
+        }
+    }
+
     private Runner met(Rows.Service s, Rows.Runner row, Manifest.Engine e) {
         var r = runners.get(row.name);
         if (r == null) {
@@ -93,12 +136,13 @@
 
     public Runner named(String id) { return runners.get(id); }
 
-    /** Partner addresses of the other routers in these regions. */
+    /** Partner addresses of the other routers; in a large fleet only those in these regions. */
     public List<String> partners(String self, String one, String other) {
+        var few = routers.size() <= FEW;
         var all = new ArrayList<String>();
         for (var n : view.members().get(Parts.MANIFEST)) {
             var g = view.manifest().regionOfZone(n.zone);
-            if (n.isRouter() && n.serving && !n.name.equals(self) && (one.equals(g) || other.equals(g))) all.add(n.partner);
+            if (n.isRouter() && n.serving && !n.name.equals(self) && (few || one.equals(g) || other.equals(g))) all.add(n.partner);
         }
         return all;
     }
--- a/lib/data/src/main/java/craneway/data/placement/Runner.java
+++ b/lib/data/src/main/java/craneway/data/placement/Runner.java
@@ -65,9 +65,8 @@
         return Math.max(0, sum);
     }
 
-    void started(Prompt p, int read, long now) {
+    void started(Prompt p, long now) {
         running++;
-        reading(read, now);
         held += p.in() + p.out();
         for (var i = 0; i < p.shared(); i++) {
             if (kept.put(p.ids()[i], p.tokens()[i]) == null) keptTokens += p.tokens()[i];
--- a/lib/link/src/main/java/craneway/link/pass/Passages.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passages.java
@@ -71,6 +71,7 @@
             if (t - swept > SWEEP) {
                 swept = t;
                 connections.sweep();
+                if (pool.view() != null && pool.view().manifest() != null) pool.seat(t);
             }
         } finally {
             if (!closed) after(LOOK, this::look);
@@ -123,7 +124,7 @@
 
     void heard(Reading m) {
         var r = pool.named(m.runner);
-        if (r != null && m.tokens > 0) r.reading(m.tokens, now());
+        if (r != null && m.tokens > 0) pool.told(r, m.tokens, now());
     }
 
     /** Another life has this address. */
