Nodes that are not current ask every 80 ms; renewals of all parts in one message

Cause: after a start or a lost owner a router renewed every 0.6 s, went from store to store in turn, and fetched each topic by a subscription after its lease was put off. Change: a part that is not current renews every 80 ms (160 and 300 when all are silent), to all stores while its owner is unknown; an unanswered renewal goes again after 200 ms; an owner sends a topic's news to whoever names version 0 or is behind for 300 ms; a lease put off for missing news is taken when they come; a manifest's new topics are asked for at once. Lean renewals of several parts travel together, verdicts too, without what the renewal named.

--- a/lib/control/src/main/java/craneway/control/node/Membership.java
+++ b/lib/control/src/main/java/craneway/control/node/Membership.java
@@ -12,6 +12,8 @@
 import craneway.state.message.Messages.News;
 import craneway.state.message.Messages.Renew;
 import craneway.state.message.Messages.RenewVerdict;
+import craneway.state.message.Messages.RenewVerdicts;
+import craneway.state.message.Messages.Renewals;
 import craneway.state.message.Messages.Signal;
 import craneway.state.message.Messages.Subscribe;
 import craneway.state.message.Node;
@@ -26,13 +28,16 @@
 public final class Membership {
     public static final long LEASE = 2_000_000, SETTLED = 1_500_000;
     private static final int SILENCES = 2;
-    private static final long IMPATIENT = 300_000, PATIENCE = 1_000_000, SUBSCRIBED = 2_000_000;
+    private static final long IMPATIENT = 300_000, PATIENCE = 1_000_000, SUBSCRIBED = 2_000_000, SEARCH = 80_000, AGAIN = 200_000;
 
     private static final class PartLease {
         long until = Long.MIN_VALUE / 2;
         long due;
         int turn;
         int unanswered;
+        boolean spread;
+        long offered = Long.MIN_VALUE / 2;
+        long offeredGrace;
         boolean held;
         long grace;
         long heldSince;
@@ -123,7 +128,9 @@
     private void serving() {
         var is = !unready && (directory.self().serving || current());
         var self = directory.self();
-        if (self.isRouter() && self.serving != is) directory.self(self.with(self.incarnation, is));
+        if (!self.isRouter() || self.serving == is) return;
+        directory.self(self.with(self.incarnation, is));
+        if (pace.lean()) for (var l : leases) l.due = 0;
     }
 
     public boolean usable(long now) {
@@ -135,8 +142,9 @@
         leaving = true;
         for (var p = 0; p < leases.length; p++) {
             leases[p].until = now;
-            renew(p, now);
+            leases[p].due = now;
         }
+        renewDue(now);
         publish();
     }
 
@@ -149,50 +157,78 @@
                 l.held = false;
                 port.note(Event.LEASE_LAPSED, "part " + p);
             }
-            if (now >= l.due) renew(p, now);
         }
+        renewDue(now);
         topics.forEach((n, t) -> follow(n, t, now));
     }
 
-    private void renew(int part, long now) {
+    private void renewDue(long now) {
+        if (superseded || directory.self().coreId == 0) return;
+        var all = new TreeMap<String, Renewals>();
+        for (var p = 0; p < leases.length; p++) if (now >= leases[p].due) renew(p, now, all);
+        all.forEach(port::send);
+    }
+
+    private void renew(int part, long now, Map<String, Renewals> all) {
         var l = leases[part];
-        l.due = now + pause(now);
         if (l.unanswered >= SILENCES) asker.owner(part, null);
-        var to = asker.owner(part);
-        if (to == null) {
-            var all = directory.stores();
-            if (all.isEmpty()) return;
-            to = all.get(Math.floorMod(l.turn++, all.size()));
-        }
+        var owner = asker.owner(part);
+        var stores = owner == null ? directory.stores() : List.of(owner);
+        l.due = now + (pace.lean() ? again(l, part) : pace.renew());
+        if (stores.isEmpty()) return;
         l.unanswered++;
         var r = new Renew();
         r.part = part;
-        r.from = directory.self();
-        r.stamp = now;
         r.members = l.membersVersion;
-        r.leaving = leaving;
         r.signals.addAll(signals.apply(part));
         topics.forEach((n, t) -> {
             if (Parts.of(n) != part) return;
             r.topics.add(n);
             r.versions.add(t.version);
         });
+        l.spread = pace.lean() && owner == null;
+        if (l.spread) stores.forEach(s -> all.computeIfAbsent(s.partner, a -> renewals(null, now)).parts.add(r));
+        else if (pace.lean()) all.computeIfAbsent(owner.partner, a -> renewals(owner, now)).parts.add(r);
+        else alone(r, stores.get(Math.floorMod(l.turn++, stores.size())), now);
+    }
+
+    private Renewals renewals(Node owner, long now) {
+        var r = new Renewals();
+        r.from = directory.self();
+        r.stamp = now;
+        r.leaving = leaving;
+        r.owner = owner == null ? 0 : owner.incarnation;
+        return r;
+    }
+
+    private void alone(Renew r, Node to, long now) {
+        r.from = directory.self();
+        r.stamp = now;
+        r.leaving = leaving;
         port.send(to.partner, r);
     }
 
-    private long pause(long now) {
-        return pace.lean() ? pace.renew() - Math.floorMod(now - Hash.of(directory.self().name), pace.renew()) : pace.renew();
+    /** Until an answer comes: soon for a part that is not current, the less often the longer all are silent. */
+    private long again(PartLease l, int part) {
+        if (l.unanswered > 24) return IMPATIENT;
+        return l.unanswered > 0 || !current(part) ? l.unanswered > 8 ? 2 * SEARCH : SEARCH : AGAIN;
+    }
+
+    private boolean current(int part) {
+        return leases[part].held && topics.entrySet().stream().noneMatch(e -> Parts.of(e.getKey()) == part && e.getValue().version == 0);
     }
 
+    private long pause(long now) { return pace.renew() - Math.floorMod(now - Hash.of(directory.self().name), pace.renew()); }
+
     private void follow(String name, Topic t, long now) {
         t.subscribers.values().removeIf(at -> now - at > SUBSCRIBED);
         var late = t.behindSince != 0 && now - t.behindSince > IMPATIENT && now - t.pulled > IMPATIENT;
-        if (now < t.due && !late) return;
-        t.due = now + pace.subscribe();
+        if (now < t.due && !late || pace.lean() && t.version == 0) return;
         var home = late ? null : homeOf(name);
         if (home == null || home.name.equals(directory.self().name)) home = asker.owner(Parts.of(name));
         if (late) t.pulled = now;
         if (home == null) return;
+        t.due = now + pace.subscribe();
         var s = new Subscribe();
         s.from = directory.self();
         s.topic = name;
@@ -209,16 +245,29 @@
         return mine.get(Rendezvous.pick(topic, mine.keySet()));
     }
 
+    public synchronized void receive(RenewVerdicts all, long now) {
+        for (var v : all.parts) {
+            v.stamp = all.stamp;
+            if (v.incarnation == 0) v.incarnation = all.incarnation;
+            if (v.kind == 0) {
+                v.owner = all.owner;
+                v.grace = all.grace;
+            }
+            receive(v, now);
+        }
+        if (leaving) return;
+        serving();
+        renewDue(now);
+    }
+
     public synchronized void receive(RenewVerdict v, long now) {
         if (v.part < 0 || v.part >= leases.length) return;
         var l = leases[v.part];
-        l.unanswered = 0;
         if (v.kind == Kind.NOT_OWNER.code()) {
-            var had = asker.owner(v.part);
-            asker.owner(v.part, v.owner);
-            if (v.owner != null && (had == null || !had.name.equals(v.owner.name))) l.due = Math.min(l.due, now + 20_000);
+            notOwner(v, l, now);
             return;
         }
+        l.unanswered = 0;
         if (v.kind == Kind.STALE_MEMBER.code()) {
             stale(v.incarnation);
             return;
@@ -231,15 +280,36 @@
             l.members = List.copyOf(v.members);
             v.members.forEach(n -> directory.learn(n, now));
         }
-        if (tooFarBehind(v.part, l.held, now)) return;
-        if (!l.held && now < v.stamp + LEASE) {
+        l.offered = Math.max(l.offered, v.stamp + LEASE);
+        l.offeredGrace = v.grace;
+        if (pace.lean() && l.due > now) l.due = current(v.part) ? now + pause(now) : now + SEARCH;
+        take(v.part, now);
+    }
+
+    private void notOwner(RenewVerdict v, PartLease l, long now) {
+        l.unanswered = Math.min(l.unanswered, pace.lean() ? SILENCES : 0);
+        if (l.spread) {
+            directory.learn(v.owner, now);
+            return;
+        }
+        var had = asker.owner(v.part);
+        asker.owner(v.part, v.owner);
+        if (v.owner == null || had != null && had.name.equals(v.owner.name)) return;
+        l.unanswered = 0;
+        l.due = Math.min(l.due, pace.lean() ? now : now + 20_000);
+    }
+
+    private void take(int part, long now) {
+        var l = leases[part];
+        if (l.offered <= l.until || tooFarBehind(part, l.held, now)) return;
+        if (!l.held && now < l.offered) {
             l.held = true;
             l.heldSince = now;
             everHeld = true;
-            port.note(Event.LEASE_TAKEN, "part " + v.part);
+            port.note(Event.LEASE_TAKEN, "part " + part);
         }
-        l.grace = v.grace;
-        l.until = Math.max(l.until, v.stamp + LEASE);
+        l.grace = l.offeredGrace;
+        l.until = l.offered;
         publish();
     }
 
@@ -290,7 +360,9 @@
         if (t.version >= t.newest) t.behindSince = 0;
         publish();
         t.subscribers.keySet().forEach(a -> port.send(a, news(n.topic, t)));
-        renew(Parts.of(n.topic), now);
+        leases[Parts.of(n.topic)].due = now;
+        take(Parts.of(n.topic), now);
+        if (!pace.lean() && !leaving) renewDue(now);
     }
 
     private void takeManifest(Rows.Manifest m) {
@@ -299,11 +371,16 @@
         manifest = ManifestReader.readChecked(m.text).getOrElseThrow(p -> new IllegalStateException(p.detail()));
         directory.self(directory.self().with(manifest.lapsedGrace()));
         port.note(Event.MANIFEST_TAKEN, "version " + m.version + " marks " + m.marks);
-        for (var s : manifest.services().keySet()) topics.computeIfAbsent(s, k -> new Topic());
+        for (var s : manifest.services().keySet()) topics.computeIfAbsent(s, this::introduced);
         topics.keySet().removeIf(k -> !k.equals(Parts.MANIFEST_TOPIC) && !manifest.services().containsKey(k));
         services.keySet().removeIf(k -> !manifest.services().containsKey(k));
     }
 
+    private Topic introduced(String topic) {
+        leases[Parts.of(topic)].due = 0;
+        return new Topic();
+    }
+
     private void takeService(Rows.Service s) {
         var old = services.put(s.name, s);
         if (old == null || old.tableVersion != s.tableVersion)
--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -51,7 +51,7 @@
 public final class Keeper implements Outlet {
     private static final long LAPSE = Membership.LEASE + 300_000, FORGET = 60_000_000,
         SUBSCRIBED = 2_000_000, AGE = 1_000_000, WANTED = 2_000_000;
-    private static final long SYNCED = 3_000_000, GATHER = 3_500_000;
+    private static final long SYNCED = 3_000_000, GATHER = 3_500_000, IMPATIENT = 300_000, PUSHED = 150_000;
     private static final int BUFFER = 20_000;
 
     private static final class Lease {
@@ -89,6 +89,8 @@
     private final Map<String, Integer> runnerLoads = new HashMap<>();
     private final Map<String, Map<String, Long>> subscribers = new HashMap<>();
     private final Map<String, Long> told = new HashMap<>();
+    private final Map<String, Long> toldAt = new HashMap<>();
+    private final Map<String, Long> pushed = new HashMap<>();
     private final Set<String> proposed = new HashSet<>();
     private final Map<Long, Wanting> wanting = new TreeMap<>();
     private boolean closed;
@@ -138,7 +140,7 @@
 
     public void receive(Ask a) { offer(() -> ask(a, port.now())); }
 
-    public void receive(Renew r) { offer(() -> renew(r, port.now())); }
+    public void receive(Renew r, Consumer<RenewVerdict> then) { offer(() -> renew(r, port.now(), then)); }
 
     public void receive(Subscribe s) { offer(() -> subscribe(s, port.now())); }
 
@@ -176,6 +178,8 @@
         runnerSequences.clear();
         runnerLoads.clear();
         told.clear();
+        toldAt.clear();
+        pushed.clear();
         proposed.clear();
         mover.reset();
         watcher.reset();
@@ -348,19 +352,20 @@
         return withBody(s);
     }
 
-    private void renew(Renew r, long now) {
+    private void renew(Renew r, long now, Consumer<RenewVerdict> then) {
         if (!group.fresh(now)) {
             var v = verdict(r, Kind.NOT_OWNER.code());
             v.owner = otherOwner();
-            port.send(r.from.partner, v);
+            then.accept(v);
             return;
         }
+        if (!r.leaving) push(r, now);
         var m = records.rows().members.get(r.from.name);
         if (m != null) directory.replaced(m.node, r.from);
         if (m != null && m.node.incarnation > r.from.incarnation) {
             var v = verdict(r, Kind.STALE_MEMBER.code());
             v.incarnation = m.node.incarnation;
-            port.send(r.from.partner, v);
+            then.accept(v);
         } else if (r.leaving) {
             leave(r, m);
         } else if (m == null || m.lapsed || m.node.incarnation != r.from.incarnation || !m.node.partner.equals(r.from.partner)
@@ -368,9 +373,9 @@
             || !m.node.requester.equals(r.from.requester)) {
             var c = new Commands.MemberPut();
             c.node = r.from;
-            propose(c, x -> { if (x.kind == 0) renewed(r, port.now()); });
+            propose(c, x -> { if (x.kind == 0) renewed(r, port.now(), then); });
         } else {
-            renewed(r, now);
+            renewed(r, now, then);
         }
     }
 
@@ -391,7 +396,18 @@
         return v;
     }
 
-    private void renewed(Renew r, long now) {
+    /** Sends the news of a topic to whoever has nothing of it yet, or has been behind for long. */
+    private void push(Renew r, long now) {
+        pushed.values().removeIf(at -> now - at > PUSHED);
+        for (var i = 0; i < r.topics.size(); i++) {
+            var t = r.topics.get(i);
+            var have = r.versions.get(i);
+            if (have >= version(t) || have > 0 && now - toldAt.getOrDefault(t, owningSince) < IMPATIENT) continue;
+            if (pushed.putIfAbsent(r.from.partner + " " + t, now) == null) port.send(r.from.partner, news(t));
+        }
+    }
+
+    private void renewed(Renew r, long now, Consumer<RenewVerdict> then) {
         var l = leases.computeIfAbsent(r.from.name, k -> new Lease());
         l.incarnation = r.from.incarnation;
         l.seen = now;
@@ -404,10 +420,12 @@
         if (v.membersVersion != r.members)
             v.members = new ArrayList<>(records.rows().members.values().stream().filter(m -> !m.lapsed).map(m -> m.node).toList());
         for (var t : topicNames()) {
+            var i = r.topics.indexOf(t);
+            if (pace.lean() && i >= 0 && r.versions.get(i) == version(t)) continue;
             v.topics.add(t);
             v.versions.add(version(t));
         }
-        port.send(r.from.partner, v);
+        then.accept(v);
     }
 
     private List<String> topicNames() {
@@ -442,6 +460,7 @@
             var v = version(t);
             if (told.getOrDefault(t, 0L) >= v) continue;
             told.put(t, v);
+            toldAt.put(t, now);
             var all = subscribers.getOrDefault(t, Map.of());
             all.values().removeIf(at -> now - at > SUBSCRIBED);
             if (all.isEmpty()) continue;
--- a/lib/control/src/main/java/craneway/control/store/Store.java
+++ b/lib/control/src/main/java/craneway/control/store/Store.java
@@ -23,6 +23,8 @@
 import craneway.state.message.Messages.News;
 import craneway.state.message.Messages.Renew;
 import craneway.state.message.Messages.RenewVerdict;
+import craneway.state.message.Messages.RenewVerdicts;
+import craneway.state.message.Messages.Renewals;
 import craneway.state.message.Messages.Subscribe;
 import craneway.state.message.Node;
 import craneway.state.part.Members;
@@ -33,8 +35,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
 
 public final class Store {
@@ -51,6 +55,7 @@
     private final Directory directory;
     private final Asker asker;
     private final Membership membership;
+    private final Queue<VerdictBundle> bundles = new ConcurrentLinkedQueue<>();
     private volatile Keeper[] keepers = {};
     private long joinDue;
     private long sayDue;
@@ -160,6 +165,7 @@
         if (directory.self().coreId == 0) found(now);
         membership.tick(now);
         asker.tick(now);
+        bundles.removeIf(b -> b.over(now));
         if (now >= joinDue) join(now);
         if (now >= saveDue) saveKnown(now);
     }
@@ -300,12 +306,26 @@
         else if (m instanceof AskVerdict v) asker.receive(v);
         else if (m instanceof PartMessage p) keeper(p.part, k -> k.receive(p));
         else if (m instanceof Ask a) askKeeper(a);
-        else if (m instanceof Renew r) keeper(r.part, k -> k.receive(r));
+        else if (m instanceof RenewVerdicts v) membership.receive(v, now);
+        else if (m instanceof Renewals r) renewals(r, now);
+        else if (m instanceof Renew r) keeper(r.part, k -> k.receive(r, v -> port.send(r.from.partner, v)));
         else if (m instanceof Subscribe s) keeper(Parts.of(s.topic), k -> k.receive(s));
         else if (m instanceof Join j) keeper(j.part, k -> k.receive(j));
         else port.note(Event.BAD_MESSAGE, "a store takes no " + m.getClass().getSimpleName());
     }
 
+    private void renewals(Renewals all, long now) {
+        if (all.from == null) return;
+        var b = new VerdictBundle(port, directory.self(), all);
+        bundles.add(b);
+        for (var r : all.parts) {
+            r.from = all.from;
+            r.stamp = all.stamp;
+            r.leaving = all.leaving;
+            keeper(r.part, k -> k.receive(r, b::add));
+        }
+    }
+
     private void askKeeper(Ask a) {
         if (keepers.length > 0) {
             keeper(a.part, k -> k.receive(a));
--- a/lib/data/src/main/java/craneway/data/router/Router.java
+++ b/lib/data/src/main/java/craneway/data/router/Router.java
@@ -9,13 +9,13 @@
 import craneway.data.runner.Loads;
 import craneway.model.event.Event;
 import craneway.model.unit.Pace;
-import craneway.model.unit.Pace;
 import craneway.model.unit.Parts;
 import craneway.state.message.Commands;
 import craneway.state.message.Messages.AskVerdict;
 import craneway.state.message.Messages.Hello;
 import craneway.state.message.Messages.News;
 import craneway.state.message.Messages.RenewVerdict;
+import craneway.state.message.Messages.RenewVerdicts;
 import craneway.state.message.Messages.Subscribe;
 import craneway.state.message.Node;
 import craneway.state.record.Rows;
@@ -72,7 +72,8 @@
 
     public void receive(Object m) {
         var now = port.now();
-        if (m instanceof Hello h) directory.receive(h, now);
+        if (m instanceof Hello h) greeted(h, now);
+        else if (m instanceof RenewVerdicts v) membership.receive(v, now);
         else if (m instanceof RenewVerdict v) membership.receive(v, now);
         else if (m instanceof Subscribe s) membership.receive(s, now);
         else if (m instanceof News n) membership.receive(n, now);
@@ -80,6 +81,12 @@
         else port.note(Event.BAD_MESSAGE, "a router takes no " + m.getClass().getSimpleName());
     }
 
+    private void greeted(Hello h, long now) {
+        var alone = directory.self().coreId == 0;
+        directory.receive(h, now);
+        if (alone && directory.self().coreId != 0) membership.tick(now);
+    }
+
     public void announce(Announcement a, Consumer<AskVerdict> then) {
         loads.heard(a.name(), a.incarnation(), a.load(), port.now());
         var c = new Commands.RunnerPut();
--- a/lib/state/src/main/java/craneway/state/message/Messages.java
+++ b/lib/state/src/main/java/craneway/state/message/Messages.java
@@ -28,6 +28,24 @@
         public List<Signal> signals = new ArrayList<>();
     }
 
+    /** The renewals of several parts at once; what they share is said once. */
+    public static final class Renewals {
+        public Node from;
+        public long stamp;
+        public boolean leaving;
+        public long owner;
+        public List<Renew> parts = new ArrayList<>();
+    }
+
+    /** The verdicts on them; an owner that the renewals named already is left out. */
+    public static final class RenewVerdicts {
+        public long stamp;
+        public long incarnation;
+        public long grace;
+        public Node owner;
+        public List<RenewVerdict> parts = new ArrayList<>();
+    }
+
     public static final class Signal {
         public String service;
         public String cell;
--- a/test/sim/src/test/java/craneway/sim/Cluster.java
+++ b/test/sim/src/test/java/craneway/sim/Cluster.java
@@ -196,6 +196,16 @@
         return true;
     }
 
+    /** Whether a router holds this version of the manifest, its tables and a lease of every part. */
+    boolean current(Member r, long version) {
+        var v = r.router.membership().view();
+        if (!r.up || !r.router.membership().current() || v.topic().version != version) return false;
+        for (var p = 0; p < Parts.COUNT; p++) if (!v.leased(p, sim.now())) return false;
+        return v.services().size() == v.manifest().services().size();
+    }
+
+    boolean allCurrent(long version) { return members.values().stream().allMatch(m -> m.router == null || current(m, version)); }
+
     Set<String> voters(int part) {
         var all = new HashSet<String>();
         var g = owner(part).store.keepers()[part].group();
--- a/test/sim/src/test/java/craneway/sim/ControlCost.java
+++ b/test/sim/src/test/java/craneway/sim/ControlCost.java
@@ -13,10 +13,12 @@
 public final class ControlCost {
     private static final int SECONDS = 30, SEEDS = 40;
 
+    private static String text;
+
     private ControlCost() { }
 
     public static void main(String[] a) throws Exception {
-        var text = Files.readString(Path.of(ControlCost.class.getResource("/craneway/sim/maticar.json").toURI()));
+        text = Files.readString(Path.of(ControlCost.class.getResource("/craneway/sim/maticar.json").toURI()));
         System.out.println("| pace | nodes | messages/s | message bytes/s | datagrams/s | datagram bytes/s | bytes/s by kind, most first |");
         System.out.println("|---|---|---|---|---|---|---|");
         for (var n : List.of(10, 30, 100)) for (var p : List.of(Pace.STEADY, Pace.LEAN)) row(p, n, text);
@@ -29,6 +31,8 @@
         mended("a store back without its disk votes on all parts", 3);
         mended("the owner back without its disk votes on all parts", 4);
         mended("all stores back after power loss, 35 ms apart: one owner of all parts", 5);
+        mended("all routers current after power loss, 35 ms apart", 6);
+        mended("a router started anew is current, 35 ms apart", 7);
     }
 
     private static void row(Pace pace, int nodes, String text) {
@@ -61,6 +65,7 @@
         var o = c.owner(0);
         var m = kind == 3 ? c.members.values().stream().filter(x -> x != o).findFirst().get() : o;
         if (kind == 5) return lights(c);
+        if (kind > 5) return current(c, kind == 6);
         if (kind == 0) o.crash();
         else if (kind == 1) o.hang(true);
         else if (kind == 2) full(c, o);
@@ -72,14 +77,35 @@
         return c.until(() -> kind < 3 ? c.ownedBut(o) : c.votesEverywhere(m, 3), 20);
     }
 
+    private static double current(Cluster c, boolean all) {
+        c.delay = 35_000;
+        c.routers(9);
+        c.until(c::owned, 5);
+        var version = new long[1];
+        c.get("s1").operator.send(0, text, r -> version[0] = r.get().version());
+        c.run(4);
+        if (!all) {
+            c.get("r5").crash();
+            c.run(1);
+            c.get("r5").start();
+            return c.until(() -> c.current(c.get("r5"), version[0]), 20);
+        }
+        back(c);
+        return c.until(() -> c.allCurrent(version[0]), 20);
+    }
+
     private static double lights(Cluster c) {
         c.delay = 35_000;
         c.run(4);
+        back(c);
+        return c.until(() -> c.owned() && c.ownedBy(c.owner(0)), 20);
+    }
+
+    private static void back(Cluster c) {
         c.members.values().forEach(Cluster.Member::losePower);
         c.run(1.4);
         c.members.values().forEach(m -> c.sim.after((long) (c.sim.random.nextDouble() * 160_000), m::start));
         c.run(0.16);
-        return c.until(() -> c.owned() && c.ownedBy(c.owner(0)), 20);
     }
 
     private static void full(Cluster c, Cluster.Member o) {
