--- a/lib/state/src/main/java/craneway/state/message/Tags.java
+++ b/lib/state/src/main/java/craneway/state/message/Tags.java
@@ -15,6 +15,7 @@
         Commands.StepAsk.class, Commands.StepMark.class, Commands.Displace.class,
         Commands.Rebuilt.class, Commands.ClaimsAccepted.class, Commands.ZoneMark.class, Commands.RunnerLeft.class,
         Messages.Reading.class,
+        Messages.Renewals.class, Messages.RenewVerdicts.class,
     };
 
     private Tags() { }
