Routers share what runners keep and which fell silent

Cause: each router guessed what the others' prompts had left in runners, took reading for 30 tokens a ms where streams run (22 measured from 91 ms a step of 2,048), and lost requests of its own to a runner that others knew silent. Change: reading notices carry the shared parts; a notice of silence; rate 22 tokens a ms.

--- a/lib/data/src/main/java/craneway/data/placement/Placer.java
+++ b/lib/data/src/main/java/craneway/data/placement/Placer.java
@@ -23,7 +23,7 @@
         }
     }
 
-    private static final double READ = 1_000 / 30.0, AGAIN = READ + 45;
+    private static final double READ = 1_000 / 24.0, AGAIN = READ + 45;
     private static final long ZONE = 15_000, REGION = 110_000, RUNNING = 25, COLD = 400_000, SUSPECT = 5_000_000, STRANGER = 60_000, BROKE = 300_000, READS = 300_000, STREAMS = 120_000;
     private static final int FAR = 2_000, SHORT = 1_000, BURDEN = 8_000, QUEUE = 1_500;
 
@@ -104,9 +104,9 @@
     private Choice cost(Runner r, Prompt p, boolean favourite, boolean home, long now) {
         var missing = r.missing(p);
         var level = r.level(now);
-        var read = r.own(p) + (favourite ? missing / 3 : missing);
-        var c = (long) (READ * (r.own(p) + level) + AGAIN * (favourite ? missing / 4 : missing));
-        c += RUNNING * r.load(now) * r.load(now) + (favourite ? 0 : STRANGER / 4);
+        var read = r.own(p) + missing;
+        var c = (long) (READ * (r.own(p) + level) + AGAIN * missing);
+        c += RUNNING * r.load(now) * r.load(now) + (favourite || missing == 0 ? 0 : p.isLong() ? 2 * STRANGER : STRANGER / 4);
         if (!r.zone.equals(zone)) c += r.region.equals(region) ? ZONE : REGION;
         if (r.mixed && r.reader != p.isLong()) c += p.isLong() ? READS : STREAMS;
         if (!home) c += STRANGER;
--- a/lib/data/src/main/java/craneway/data/placement/Prompt.java
+++ b/lib/data/src/main/java/craneway/data/placement/Prompt.java
@@ -2,6 +2,7 @@
 
 import craneway.model.unit.Hash;
 import craneway.model.unit.Units;
+import java.util.Arrays;
 
 /** The parts of a prompt in order, by id and tokens; the last one is the request's own. Bad input reads as no parts. */
 public record Prompt(long[] ids, int[] tokens, int in, int out) {
@@ -47,6 +48,10 @@
         return ids[Math.max(0, ids.length - 2)];
     }
 
+    public long[] sharedIds() { return Arrays.copyOf(ids, shared()); }
+
+    public int[] sharedSizes() { return Arrays.copyOf(tokens, shared()); }
+
     public int sharedTokens() {
         var sum = 0;
         for (var i = 0; i < shared(); i++) sum += tokens[i];
--- a/lib/data/src/main/java/craneway/data/placement/Runner.java
+++ b/lib/data/src/main/java/craneway/data/placement/Runner.java
@@ -7,7 +7,7 @@
 /** What one router knows of one life of a runner. Times are microseconds of the steady clock. */
 public final class Runner {
     private static final long REPORT_FRESH = 2_000_000, QUIET = 2_500_000;
-    private static final double RATE = 0.03;
+    private static final double RATE = 0.022;
 
     public final String service;
     public final String zone;
@@ -68,9 +68,19 @@
     void started(Prompt p, long now) {
         running++;
         held += p.in() + p.out();
-        for (var i = 0; i < p.shared(); i++) {
-            if (kept.put(p.ids()[i], p.tokens()[i]) == null) keptTokens += p.tokens()[i];
-        }
+        for (var i = 0; i < p.shared(); i++) keeps(p.ids()[i], p.tokens()[i]);
+        evict();
+    }
+
+    /** Some router has sent it these shared parts. */
+    public void keeps(long[] ids, int[] sizes) {
+        for (var i = 0; i < Math.min(ids.length, sizes.length); i++) keeps(ids[i], sizes[i]);
+        evict();
+    }
+
+    private void keeps(long id, int tokens) { if (kept.put(id, tokens) == null) keptTokens += tokens; }
+
+    private void evict() {
         var most = cacheTokens == 0 ? Long.MAX_VALUE : Math.max(cacheTokens / 4, cacheTokens - held);
         var it = kept.entrySet().iterator();
         while (keptTokens > most && it.hasNext()) {
--- a/lib/data/src/main/java/craneway/data/router/Router.java
+++ b/lib/data/src/main/java/craneway/data/router/Router.java
@@ -15,6 +15,7 @@
 import craneway.state.message.Messages.Hello;
 import craneway.state.message.Messages.News;
 import craneway.state.message.Messages.Reading;
+import craneway.state.message.Messages.Silence;
 import craneway.state.message.Messages.RenewVerdict;
 import craneway.state.message.Messages.RenewVerdicts;
 import craneway.state.message.Messages.Subscribe;
@@ -34,6 +35,7 @@
     private final Loads loads = new Loads();
     private final Executor executor;
     private volatile Consumer<Reading> reading = r -> { };
+    private volatile Consumer<Silence> silence = s -> { };
 
     public Router(Port port, Node self, List<String> seeds, Random random) { this(port, self, seeds, Pace.STEADY, random); }
 
@@ -55,6 +57,9 @@
     /** Who hears what other routers gave runners to read. */
     public void onReading(Consumer<Reading> then) { reading = then; }
 
+    /** Who hears which runners other routers find silent. */
+    public void onSilence(Consumer<Silence> then) { silence = then; }
+
     public boolean ready() { return directory.self().serving && membership.usable(port.now()); }
 
     public void unready() { membership.unready(); }
@@ -84,6 +89,7 @@
         else if (m instanceof News n) membership.receive(n, now);
         else if (m instanceof AskVerdict v) asker.receive(v);
         else if (m instanceof Reading r) reading.accept(r);
+        else if (m instanceof Silence s) silence.accept(s);
         else port.note(Event.BAD_MESSAGE, "a router takes no " + m.getClass().getSimpleName());
     }
 
--- a/lib/link/src/main/java/craneway/link/pass/PassServer.java
+++ b/lib/link/src/main/java/craneway/link/pass/PassServer.java
@@ -5,6 +5,7 @@
 import craneway.link.process.Seat;
 import craneway.model.event.Log;
 import craneway.state.message.Messages.Reading;
+import craneway.state.message.Messages.Silence;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
@@ -61,6 +62,9 @@
         return u;
     }
 
+    /** A runner that another router finds silent. */
+    public void heard(Silence m) { worker.getIoThread().execute(() -> all.heard(m)); }
+
     /** What another router gave a runner to read. */
     public void heard(Reading m) { worker.getIoThread().execute(() -> all.heard(m)); }
 
--- a/lib/link/src/main/java/craneway/link/pass/Passage.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passage.java
@@ -114,7 +114,7 @@
         state = State.SENT;
         sentAt = now;
         all.placer().started(c, prompt, now);
-        all.tell(c);
+        all.tell(c, prompt);
         about = c.about();
         call = new RunnerCall(all.connections(), c.runner().address(), request(c, now), body, new Heard(c));
         call.start(true, CONNECT);
@@ -157,7 +157,7 @@
         var since = state == State.SENT ? sentAt : heardAt;
         var bound = state == State.SENT ? FIRST + 2 * choice.cost() : GAP;
         if (now - since < bound || now - r.heardAt() < bound || r.heardAt() > since && state == State.SENT) return;
-        r.suspect(now);
+        all.silent(r);
         if (state == State.SENT ? route.repeatable() : events != null && events.lastId() != null) elsewhere(now);
     }
 
--- a/lib/link/src/main/java/craneway/link/pass/Passages.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passages.java
@@ -4,6 +4,7 @@
 import craneway.data.placement.ColdShare;
 import craneway.data.placement.Placer;
 import craneway.data.placement.Pool;
+import craneway.data.placement.Prompt;
 import craneway.data.placement.RetryBudget;
 import craneway.data.placement.Runner;
 import craneway.link.platform.Vocabulary;
@@ -12,6 +13,7 @@
 import craneway.model.event.Log;
 import craneway.model.manifest.Route;
 import craneway.state.message.Messages.Reading;
+import craneway.state.message.Messages.Silence;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -25,7 +27,7 @@
 
 /** All open requests of one router, and what they share. One I/O thread. */
 final class Passages {
-    private static final long LOOK = 40_000, SWEEP = 500_000;
+    private static final long LOOK = 40_000, SWEEP = 500_000, LATELY = 250_000;
     private static final int TOLD = 1_000, SLOW = 5;
 
     private final XnioIoThread io;
@@ -114,17 +116,37 @@
     }
 
     /** Tells the routers that use this runner what it has to read. */
-    void tell(Placer.Choice c) {
+    void tell(Placer.Choice c, Prompt p) {
         if (c.read() < TOLD) return;
         var m = new Reading();
         m.runner = c.runner().id();
         m.tokens = c.read();
+        m.parts = p.sharedIds();
+        m.sizes = p.sharedSizes();
         for (var a : pool.partners(seat.name(), c.runner().region, seat.region())) send.accept(a, m);
     }
 
     void heard(Reading m) {
         var r = pool.named(m.runner);
-        if (r != null && m.tokens > 0) pool.told(r, m.tokens, now());
+        if (r == null || m.tokens <= 0) return;
+        pool.told(r, m.tokens, now());
+        r.keeps(m.parts, m.sizes);
+    }
+
+    /** This router's requests hear nothing from it: the others had better not send it theirs. */
+    void silent(Runner r) {
+        var t = now();
+        if (!r.suspected(t)) {
+            var m = new Silence();
+            m.runner = r.id();
+            for (var a : pool.partners(seat.name(), r.region, seat.region())) send.accept(a, m);
+        }
+        r.suspect(t);
+    }
+
+    void heard(Silence m) {
+        var r = pool.named(m.runner);
+        if (r != null && now() - r.heardAt() > LATELY) r.suspect(now());
     }
 
     /** Another life has this address. */
--- a/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
+++ b/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
@@ -29,6 +29,7 @@
         wire.start(router.directory()::kin, router::receive);
         server = new PassServer(host::now, router.membership()::view, seat, names, log, this::ready, host::send);
         router.onReading(server::heard);
+        router.onSilence(server::heard);
         host.tick(router::tick);
         log.note(Event.STARTED, "router zone " + seat.zone() + " requester " + seat.requester() + " partner " + seat.partner());
     }
--- a/lib/state/src/main/java/craneway/state/message/Messages.java
+++ b/lib/state/src/main/java/craneway/state/message/Messages.java
@@ -100,6 +100,14 @@
     public static final class Reading {
         public String runner = "";
         public int tokens;
+        /** The shared parts that it then keeps, by id and tokens. */
+        public long[] parts = {};
+        public int[] sizes = {};
+    }
+
+    /** A router tells the others that a runner has fallen silent. */
+    public static final class Silence {
+        public String runner = "";
     }
 
     public static final class Join {
--- a/lib/state/src/main/java/craneway/state/message/Tags.java
+++ b/lib/state/src/main/java/craneway/state/message/Tags.java
@@ -14,7 +14,7 @@
         Queries.Status.class, Queries.ManifestGet.class, Queries.Spread.class, Queries.PlanGet.class,
         Commands.StepAsk.class, Commands.StepMark.class, Commands.Displace.class,
         Commands.Rebuilt.class, Commands.ClaimsAccepted.class, Commands.ZoneMark.class, Commands.RunnerLeft.class,
-        Messages.Reading.class,
+        Messages.Reading.class, Messages.Silence.class,
         Messages.Renewals.class, Messages.RenewVerdicts.class,
     };
 
--- a/test/pass/src/test/java/craneway/pass/PlacerTest.java
+++ b/test/pass/src/test/java/craneway/pass/PlacerTest.java
@@ -120,6 +120,41 @@
         assertTrue(seen.size() > 1, seen.toString());
     }
 
+    @Test
+    void whatAnotherRouterGaveARunnerToReadCounts() {
+        var placer = at("r1", "a", "ra");
+        var p = Prompt.of("aa:2500,bb:3700,c:2800", "9000,50");
+        var first = choose(placer, "once", p);
+        pool.told(first.runner(), 60_000, 10_000_000);
+        var other = choose(placer, "once", p);
+        assertNotEquals(first.runner().id(), other.runner().id());
+        var later = placer.choose(pool.view().manifest().routes().match("h.example", "/once/x"), "s", p, Set.of(), 20_000_000);
+        assertEquals(first.runner().id(), later.runner().id());
+    }
+
+    @Test
+    void partsThatAnotherRouterHadReadAreNotReadAgain() {
+        var placer = at("r1", "a", "ra");
+        var p = Prompt.of("aa:2500,bb:3700,c:2800", "9000,50");
+        var first = choose(placer, "once", p);
+        assertEquals(9_000, first.read());
+        var other = pool.all().stream().filter(r -> r.region.equals(first.runner().region) && r != first.runner()).findFirst().orElseThrow();
+        other.keeps(p.sharedIds(), p.sharedSizes());
+        var then = choose(placer, "once", p);
+        assertEquals(other.id(), then.runner().id());
+        assertEquals(2_800, then.read());
+    }
+
+    @Test
+    void aLongPromptWaitsWhileTooMuchIsToBeRead() {
+        var placer = at("r1", "a", "ra");
+        var p = Prompt.of("aa:2500,bb:3700,c:2800", "9000,50");
+        for (var r : pool.all()) pool.told(r, 9_000, 10_000_000);
+        assertTrue(placer.crowds(choose(placer, "once", p), 10_000_000));
+        var later = placer.choose(pool.view().manifest().routes().match("h.example", "/once/x"), "s", p, Set.of(), 11_000_000);
+        assertFalse(placer.crowds(later, 11_000_000));
+    }
+
     @Test
     void aSilentRunnerIsAvoidedAndAskedAgainOnce() {
         var placer = at("r1", "a", "ra");
