--- a/test/sim/src/test/java/craneway/sim/Cluster.java
+++ b/test/sim/src/test/java/craneway/sim/Cluster.java
@@ -13,6 +13,8 @@
 import craneway.state.message.Codec;
 import craneway.state.message.Messages.Hello;
 import craneway.state.message.Node;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -28,6 +30,7 @@
 
 /** Hollow stores and routers on one simulated clock: no requests, only what the control plane itself says. */
 final class Cluster {
+    private static final ThreadMXBean CPU = ManagementFactory.getThreadMXBean();
     static final long SECOND = 1_000_000, TICK = 20_000, DELAY = 4_000;
 
     final class Member implements Port {
@@ -44,6 +47,11 @@
         Router router;
         Operator operator;
         final Deque<Runnable> desk = new ArrayDeque<>();
+        long sent;
+        long sentBytes;
+        long got;
+        long gotBytes;
+        long cpu;
 
         Member(String name, String kind, String zone) {
             this.name = name;
@@ -92,12 +100,23 @@
 
         private void tick(int mine) {
             if (!up || life != mine) return;
-            if (store != null) store.tick();
-            else router.tick();
-            operator.tick(sim.now());
+            timed(() -> {
+                if (store != null) store.tick();
+                else router.tick();
+                operator.tick(sim.now());
+            });
             sim.after(TICK, () -> tick(mine));
         }
 
+        /** Adds the processor time that this takes to the member's. */
+        void timed(Runnable r) {
+            var from = CPU.getCurrentThreadCpuTime();
+            r.run();
+            cpu += CPU.getCurrentThreadCpuTime() - from;
+        }
+
+        void clear() { sent = sentBytes = got = gotBytes = cpu = 0; }
+
         long core() { return (store == null ? router.directory() : store.directory()).self().coreId; }
 
         long storeId() { return store.directory().self().storeId; }
@@ -110,8 +129,12 @@
             if (!up) return;
             var mine = core();
             if (sim.random.nextDouble() < lost) return;
-            meter.sent(this, to, message);
             var b = Codec.writeTagged(message);
+            meter.sent(this, to, message, b);
+            if (!to.equals(address)) {
+                sent++;
+                sentBytes += b.length;
+            }
             sim.after(delay, () -> arrive(to, b, mine, message instanceof Hello));
         }
 
@@ -119,8 +142,14 @@
             var m = at(to);
             if (m == null || !m.up || cut.contains(name + ">" + m.name)) return;
             if (!hello && core != 0 && m.core() != 0 && m.core() != core) return;
-            if (m.store != null) m.store.receive(Codec.readTagged(b));
-            else m.router.receive(Codec.readTagged(b));
+            if (m != this) {
+                m.got++;
+                m.gotBytes += b.length;
+            }
+            m.timed(() -> {
+                if (m.store != null) m.store.receive(Codec.readTagged(b));
+                else m.router.receive(Codec.readTagged(b));
+            });
         }
 
         @Override
@@ -163,7 +192,16 @@
 
     Member get(String name) { return members.get(name); }
 
-    Member at(String address) { return members.values().stream().filter(m -> m.up && m.address.equals(address)).findFirst().orElse(null); }
+    Member at(String address) {
+        var named = members.get(address);
+        if (named != null && named.up && named.address.equals(address)) return named;
+        return members.values().stream().filter(m -> m.up && m.address.equals(address)).findFirst().orElse(null);
+    }
+
+    void clear() {
+        meter.clear();
+        members.values().forEach(Member::clear);
+    }
 
     void run(double seconds) { sim.runUntil(sim.now() + (long) (seconds * SECOND)); }
 
--- a/test/sim/src/test/java/craneway/sim/Meter.java
+++ b/test/sim/src/test/java/craneway/sim/Meter.java
@@ -1,6 +1,5 @@
 package craneway.sim;
 
-import craneway.state.message.Codec;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,9 +23,8 @@
 
     Meter(Sim sim) { this.sim = sim; }
 
-    void sent(Cluster.Member from, String to, Object m) {
+    void sent(Cluster.Member from, String to, Object m, byte[] b) {
         if (to.equals(from.address)) return;
-        var b = Codec.writeTagged(m);
         messages++;
         bytes += b.length;
         byKind.merge(m.getClass().getSimpleName(), (long) b.length, Long::sum);
