--- a/lib/data/src/main/java/craneway/data/placement/Pool.java
+++ b/lib/data/src/main/java/craneway/data/placement/Pool.java
@@ -150,6 +150,9 @@
     public Membership.View view() { return view; }
     public Collection<String> routers() { return routers; }
     public Collection<Runner> all() { return runners.values(); }
+    /** Whether news of this service has come; without it nothing is known of its runners. */
+    public boolean knows(String service) { return services.containsKey(service); }
+
     public List<Runner> of(String service) { return services.getOrDefault(service, List.of()); }
     public boolean emptied(String zone) { return emptied.contains(zone); }
 }
--- a/lib/link/src/main/java/craneway/link/pass/PassDesk.java
+++ b/lib/link/src/main/java/craneway/link/pass/PassDesk.java
@@ -7,7 +7,7 @@
 
 /** Takes a requester's request whole and hands it to its passage. */
 final class PassDesk implements HttpHandler {
-    private static final long PATIENCE = 400_000, AGAIN = 20_000;
+    private static final long PATIENCE = Passage.STARTING, AGAIN = 20_000;
 
     private final Passages all;
     private boolean leaving;
--- a/lib/link/src/main/java/craneway/link/pass/Passage.java
+++ b/lib/link/src/main/java/craneway/link/pass/Passage.java
@@ -20,6 +20,8 @@
 final class Passage {
     private enum State { PLACING, SENT, ANSWERING, OVER }
 
+    /** How long a router that has just started waits for its manifest and the runners it names. */
+    static final long STARTING = 1_200_000;
     private static final long CONNECT = 400_000, AGAIN = 25_000, FIRST = 300_000, GAP = 600_000;
 
     private final Passages all;
@@ -99,7 +101,7 @@
             cut("no runner to go on with");
             return;
         }
-        if (sends > 0 || now - begun > Math.max(100_000, route.target() / 4)) {
+        if (sends > 0 || now - begun > patience()) {
             giveUp("no runner may take it");
             return;
         }
@@ -107,6 +109,8 @@
         wake = all.after(AGAIN, this::place);
     }
 
+    private long patience() { return all.pool().knows(service) ? Math.max(100_000, route.target() / 4) : STARTING; }
+
     private void send(Placer.Choice c, long now) {
         choice = c;
         sends++;
--- a/lib/link/src/main/java/craneway/link/process/PassStoreProcess.java
+++ b/lib/link/src/main/java/craneway/link/process/PassStoreProcess.java
@@ -25,7 +25,7 @@
 /** A store on a platform: keeps the core and serves operators, runners and requesters that ask where to go. */
 public final class PassStoreProcess implements AutoCloseable {
     private static final int IO = 2, THREADS = 6, TICKS = 2;
-    private static final long CONFIGURATION = 32L << 20, SMALL = 64 << 10, HAND_OVER = 2_000_000,
+    private static final long CONFIGURATION = 32L << 20, SMALL = 64 << 10, HAND_OVER = 2_000_000, RESERVE = 8L << 20,
         LAST_REPLIES = 500, FORGOTTEN = 60_000_000;
 
     private final DiskFolder disk;
@@ -34,7 +34,7 @@
 
     public PassStoreProcess(Seat seat, Dialect dialect, EventLog log) {
         made(seat);
-        disk = new DiskFolder(seat.data());
+        disk = new DiskFolder(seat.data(), RESERVE);
         var wire = new Wire(seat.partner(), this::core, () -> System.nanoTime() / 1000, log);
         host = new Host(log, IO, THREADS, TICKS, wire);
         var self = new Node(seat.name(), Node.STORE, seat.zone(), seat.partner(), System.currentTimeMillis());
--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -107,6 +107,13 @@
         publish();
     }
 
+    /** As a router that has just started: no manifest yet, then no news of the service. */
+    void startAnew(boolean manifest) {
+        var members = new ArrayList<List<Node>>();
+        for (var i = 0; i < 4; i++) members.add(List.of());
+        view = new Membership.View(topic, manifest ? ManifestReader.read(MANIFEST).get() : null, Map.of(), new long[4], members, 0, new long[4]);
+    }
+
     void publish() {
         var s = new Rows.Service();
         s.name = "s";
--- a/test/pass/src/test/java/craneway/pass/PassTest.java
+++ b/test/pass/src/test/java/craneway/pass/PassTest.java
@@ -366,6 +366,26 @@
         }
     }
 
+    @Test
+    void aRouterThatHasJustStartedServesWhatCameBeforeItsManifest() throws Exception {
+        try (var r = new FakeRunner(x -> x.ok("served")); var s = bed.connect()) {
+            bed.runner("i1", r, "a");
+            bed.startAnew(false);
+            Bed.send(s, "/once/x", "t", "", "");
+            bed.startAnew(true);
+            bed.publish();
+            assertEquals("served", Bed.answer(s.getInputStream()).text());
+        }
+    }
+
+    @Test
+    void aRouterWithoutManifestSaysWhenToComeBack() throws Exception {
+        bed.startAnew(false);
+        var a = bed.ask("/once/x", "t", "");
+        assertEquals(503, a.status());
+        assertEquals("1.5", a.headers().get("Retry-After"));
+    }
+
     @Test
     void tooLongABodyIsDeclined() throws Exception {
         try (var r = new FakeRunner(x -> x.ok("a"))) {
