A starting router gets its tables along with the manifest

Change: an owner sends all its topics to whoever has no list of members yet; a router keeps them until the manifest names them.

--- a/lib/control/src/main/java/craneway/control/node/Membership.java
+++ b/lib/control/src/main/java/craneway/control/node/Membership.java
@@ -69,6 +69,7 @@
     private final PartLease[] leases = new PartLease[Parts.COUNT];
     private final Map<String, Topic> topics = new TreeMap<>();
     private final Map<String, Rows.Service> services = new TreeMap<>();
+    private final Map<String, News> early = new HashMap<>();
     private Rows.Manifest manifestTopic = new Rows.Manifest();
     private Manifest manifest;
     private boolean everHeld;
@@ -351,6 +352,7 @@
 
     public synchronized void receive(News n, long now) {
         var t = topics.get(n.topic);
+        if (t == null && pace.lean() && manifest == null) early.merge(n.topic, n, (a, b) -> a.version < b.version ? b : a);
         if (t == null || n.version <= t.version) return;
         if (n.topic.equals(Parts.MANIFEST_TOPIC)) takeManifest(Codec.read(Rows.Manifest.class, n.body));
         else takeService(Codec.read(Rows.Service.class, n.body));
@@ -363,6 +365,10 @@
         leases[Parts.of(n.topic)].due = now;
         take(Parts.of(n.topic), now);
         if (!pace.lean() && !leaving) renewDue(now);
+        if (manifest == null || early.isEmpty()) return;
+        var waiting = List.copyOf(early.values());
+        early.clear();
+        waiting.forEach(x -> receive(x, now));
     }
 
     private void takeManifest(Rows.Manifest m) {
--- a/lib/control/src/main/java/craneway/control/store/Keeper.java
+++ b/lib/control/src/main/java/craneway/control/store/Keeper.java
@@ -399,10 +399,10 @@
     /** Sends the news of a topic to whoever has nothing of it yet, or has been behind for long. */
     private void push(Renew r, long now) {
         pushed.values().removeIf(at -> now - at > PUSHED);
-        for (var i = 0; i < r.topics.size(); i++) {
-            var t = r.topics.get(i);
-            var have = r.versions.get(i);
-            if (have >= version(t) || have > 0 && now - toldAt.getOrDefault(t, owningSince) < IMPATIENT) continue;
+        for (var t : topicNames()) {
+            var i = r.topics.indexOf(t);
+            var have = i < 0 ? 0 : r.versions.get(i);
+            if (i < 0 && r.members >= 0 || have >= version(t) || have > 0 && now - toldAt.getOrDefault(t, owningSince) < IMPATIENT) continue;
             if (pushed.putIfAbsent(r.from.partner + " " + t, now) == null) port.send(r.from.partner, news(t));
         }
     }
