--- a/lib/control/src/main/java/craneway/control/node/Membership.java
+++ b/lib/control/src/main/java/craneway/control/node/Membership.java
@@ -188,9 +188,11 @@
             r.versions.add(t.version);
         });
         l.spread = pace.lean() && owner == null;
-        if (l.spread) stores.forEach(s -> all.computeIfAbsent(s.partner, a -> renewals(null, now)).parts.add(r));
-        else if (pace.lean()) all.computeIfAbsent(owner.partner, a -> renewals(owner, now)).parts.add(r);
-        else alone(r, stores.get(Math.floorMod(l.turn++, stores.size())), now);
+        var to = l.spread ? stores : List.of(stores.get(Math.floorMod(l.turn++, stores.size())));
+        for (var s : to) {
+            if (pace.lean() && s.wire >= Node.RENEWALS) all.computeIfAbsent(s.partner, a -> renewals(owner, now)).parts.add(r);
+            else alone(r, s, now);
+        }
     }
 
     private Renewals renewals(Node owner, long now) {
@@ -202,7 +204,13 @@
         return r;
     }
 
-    private void alone(Renew r, Node to, long now) {
+    private void alone(Renew part, Node to, long now) {
+        var r = new Renew();
+        r.part = part.part;
+        r.members = part.members;
+        r.topics = part.topics;
+        r.versions = part.versions;
+        r.signals = part.signals;
         r.from = directory.self();
         r.stamp = now;
         r.leaving = leaving;
