--- a/lib/control/src/main/java/craneway/control/node/Membership.java
+++ b/lib/control/src/main/java/craneway/control/node/Membership.java
@@ -69,6 +69,7 @@
     private final PartLease[] leases = new PartLease[Parts.COUNT];
     private final Map<String, Topic> topics = new TreeMap<>();
     private final Map<String, Rows.Service> services = new TreeMap<>();
+    private final Map<String, News> early = new HashMap<>();
     private Rows.Manifest manifestTopic = new Rows.Manifest();
     private Manifest manifest;
     private boolean everHeld;
@@ -187,9 +188,11 @@
             r.versions.add(t.version);
         });
         l.spread = pace.lean() && owner == null;
-        if (l.spread) stores.forEach(s -> all.computeIfAbsent(s.partner, a -> renewals(null, now)).parts.add(r));
-        else if (pace.lean()) all.computeIfAbsent(owner.partner, a -> renewals(owner, now)).parts.add(r);
-        else alone(r, stores.get(Math.floorMod(l.turn++, stores.size())), now);
+        var to = l.spread ? stores : List.of(stores.get(Math.floorMod(l.turn++, stores.size())));
+        for (var s : to) {
+            if (pace.lean() && s.wire >= Node.RENEWALS) all.computeIfAbsent(s.partner, a -> renewals(owner, now)).parts.add(r);
+            else alone(r, s, now);
+        }
     }
 
     private Renewals renewals(Node owner, long now) {
@@ -201,7 +204,13 @@
         return r;
     }
 
-    private void alone(Renew r, Node to, long now) {
+    private void alone(Renew part, Node to, long now) {
+        var r = new Renew();
+        r.part = part.part;
+        r.members = part.members;
+        r.topics = part.topics;
+        r.versions = part.versions;
+        r.signals = part.signals;
         r.from = directory.self();
         r.stamp = now;
         r.leaving = leaving;
@@ -351,6 +360,7 @@
 
     public synchronized void receive(News n, long now) {
         var t = topics.get(n.topic);
+        if (t == null && pace.lean() && manifest == null) early.merge(n.topic, n, (a, b) -> a.version < b.version ? b : a);
         if (t == null || n.version <= t.version) return;
         if (n.topic.equals(Parts.MANIFEST_TOPIC)) takeManifest(Codec.read(Rows.Manifest.class, n.body));
         else takeService(Codec.read(Rows.Service.class, n.body));
@@ -363,6 +373,10 @@
         leases[Parts.of(n.topic)].due = now;
         take(Parts.of(n.topic), now);
         if (!pace.lean() && !leaving) renewDue(now);
+        if (manifest == null || early.isEmpty()) return;
+        var waiting = List.copyOf(early.values());
+        early.clear();
+        waiting.forEach(x -> receive(x, now));
     }
 
     private void takeManifest(Rows.Manifest m) {
