--- a/lib/data/src/main/java/craneway/data/placement/Placer.java
+++ b/lib/data/src/main/java/craneway/data/placement/Placer.java
@@ -92,7 +92,7 @@
         var most = 0L;
         for (var r : pool.of(service)) {
             if (!allowed(route, r) || home != null && !r.zone.equals(home) || r.mixed && r.reader != p.isLong()) continue;
-            var w = Rendezvous.weight(p.key(), r.id());
+            var w = Rendezvous.weight(p.key(), r.hash);
             if (best == null || Long.compareUnsigned(w, most) > 0) {
                 best = r;
                 most = w;
--- a/lib/data/src/main/java/craneway/data/placement/Pool.java
+++ b/lib/data/src/main/java/craneway/data/placement/Pool.java
@@ -2,7 +2,6 @@
 
 import craneway.control.node.Membership;
 import craneway.model.manifest.Manifest;
-import craneway.model.unit.Hash;
 import craneway.model.unit.Parts;
 import craneway.state.message.Plan;
 import craneway.state.record.Rows;
@@ -18,6 +17,7 @@
 /** The runners as the newest view names them; lives that the view drops are forgotten. Not thread-safe: one thread asks. */
 public final class Pool {
     private static final int FEW = 40;
+    private static final Comparator<Runner> BY_HASH = (a, b) -> Long.compare(a.hash, b.hash);
     private final Map<String, Runner> runners = new HashMap<>();
     private Map<String, List<Runner>> services = Map.of();
     private Set<String> emptied = Set.of();
@@ -71,7 +71,7 @@
         var region = list.get(0).region;
         var shared = bound.stream().anyMatch(b -> List.of(b.split(" ")).contains(region));
         var n = shared ? reading.readers(list.size(), now) : list.size();
-        list.sort(Comparator.comparingLong(r -> Hash.of(r.id())));
+        list.sort(BY_HASH);
         for (var i = 0; i < list.size(); i++) {
             list.get(i).reader = i < n;
             list.get(i).mixed = n < list.size();
--- a/lib/data/src/main/java/craneway/data/placement/Runner.java
+++ b/lib/data/src/main/java/craneway/data/placement/Runner.java
@@ -1,5 +1,6 @@
 package craneway.data.placement;
 
+import craneway.model.unit.Hash;
 import craneway.state.record.Rows;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -12,6 +13,7 @@
     public final String service;
     public final String zone;
     public final String region;
+    final long hash;
     Rows.Runner row;
     int slots;
     private final long cacheTokens;
@@ -39,6 +41,7 @@
         this.region = region;
         this.zone = zone;
         this.row = row;
+        hash = Hash.of(row.name);
         this.slots = slots;
         this.cacheTokens = cacheTokens;
     }
--- a/lib/link/src/main/java/craneway/link/pass/Events.java
+++ b/lib/link/src/main/java/craneway/link/pass/Events.java
@@ -1,47 +1,52 @@
 package craneway.link.pass;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /** Cuts an event stream into whole events and remembers the last id passed on (WHATWG HTML, 9.2.6). */
 final class Events {
-    private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
+    private static final byte[] NONE = {};
+
+    private byte[] partial = NONE;
     private String lastId;
-    private long count;
 
     String lastId() { return lastId; }
 
-    long count() { return count; }
-
     /** Takes bytes; returns the whole events that they complete, null for none. */
     ByteBuffer take(ByteBuffer b) {
-        var x = new byte[b.remaining()];
-        b.get(x);
-        partial.writeBytes(x);
-        var all = partial.toByteArray();
-        var end = 0;
-        for (var i = 1; i < all.length; i++) {
-            if (all[i] != '\n' || all[i - 1] != '\n' && !(i > 2 && all[i - 1] == '\r' && all[i - 2] == '\n')) continue;
-            id(all, end, i);
-            end = i + 1;
-            count++;
+        var n = partial.length;
+        var all = n == 0 ? new byte[b.remaining()] : Arrays.copyOf(partial, n + b.remaining());
+        b.get(all, n, all.length - n);
+        var end = end(all);
+        if (end > 0) id(all, end);
+        partial = end == all.length ? NONE : Arrays.copyOfRange(all, end, all.length);
+        return end == 0 ? null : ByteBuffer.wrap(all, 0, end);
+    }
+
+    /** Behind the last empty line, 0 where there is none. */
+    private static int end(byte[] all) {
+        for (var i = all.length - 1; i > 0; i--) {
+            if (all[i] != '\n') continue;
+            if (all[i - 1] == '\n' || i > 2 && all[i - 1] == '\r' && all[i - 2] == '\n') return i + 1;
+        }
+        return 0;
+    }
+
+    private void id(byte[] all, int end) {
+        for (var i = end - 3; i >= 0; i--) {
+            if (all[i] != 'i' || all[i + 1] != 'd' || all[i + 2] != ':' || i > 0 && all[i - 1] != '\n') continue;
+            var to = i;
+            while (to < end && all[to] != '\n' && all[to] != '\r') to++;
+            lastId = new String(all, i + 3, to - i - 3, StandardCharsets.UTF_8).trim();
+            return;
         }
-        if (end == 0) return null;
-        partial.reset();
-        partial.write(all, end, all.length - end);
-        return ByteBuffer.wrap(all, 0, end);
     }
 
     /** What follows the last whole event. */
     byte[] rest() {
-        var r = partial.toByteArray();
-        partial.reset();
+        var r = partial;
+        partial = NONE;
         return r;
     }
-
-    private void id(byte[] all, int from, int to) {
-        for (var line : new String(all, from, to - from, StandardCharsets.UTF_8).split("\r?\n"))
-            if (line.startsWith("id:")) lastId = line.substring(3).trim();
-    }
 }
--- a/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
+++ b/lib/link/src/main/java/craneway/link/process/PassRouterProcess.java
@@ -11,7 +11,7 @@
 
 /** The router on a platform that starts it: control as ever, the whole request path without blocking threads. */
 public final class PassRouterProcess implements AutoCloseable {
-    private static final int IO = 1, THREADS = 2, TICKS = 1;
+    private static final int IO = 1, THREADS = 2, TICKS = 1, TICK = 50;
     private static final long LINGER = 5_000_000, MARGIN = 500_000, TELL = 200_000;
 
     private final Seat seat;
@@ -30,7 +30,7 @@
         server = new PassServer(host::now, router.membership()::view, seat, names, log, this::ready, host::send);
         router.onReading(server::heard);
         router.onSilence(server::heard);
-        host.tick(router::tick);
+        host.tick(router::tick, TICK);
         log.note(Event.STARTED, "router zone " + seat.zone() + " requester " + seat.requester() + " partner " + seat.partner());
     }
 
--- a/lib/model/src/main/java/craneway/model/manifest/Routes.java
+++ b/lib/model/src/main/java/craneway/model/manifest/Routes.java
@@ -5,10 +5,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Finds the route of a host with the longest prefix of a path; prefixes begin and end with a slash. */
 public final class Routes {
     private final Map<String, Map<String, Route>> hosts = new HashMap<>();
+    private final Map<String, Collection<String>> bound = new ConcurrentHashMap<>();
     private final int count;
 
     public Routes(Collection<Route> all) {
@@ -19,7 +21,9 @@
     public int count() { return count; }
 
     /** The region sets that routes to this service are bound to, each its names in order, once. */
-    public Collection<String> bound(String service) {
+    public Collection<String> bound(String service) { return bound.computeIfAbsent(service, this::boundOf); }
+
+    private Collection<String> boundOf(String service) {
         var all = new TreeSet<String>();
         for (var h : hosts.values())
             for (var r : h.values())
--- a/lib/model/src/main/java/craneway/model/unit/Rendezvous.java
+++ b/lib/model/src/main/java/craneway/model/unit/Rendezvous.java
@@ -19,5 +19,8 @@
         return best;
     }
 
+    /** The same for a name whose hash is known. */
+    public static long weight(long key, long nameHash) { return Hash.of(key, nameHash); }
+
     public static long weight(long key, String name) { return Hash.of(key, Hash.of(name)); }
 }
