A node tells whether it reads joined renewals; the wire version stays

Cause: raising the wire version made the feature 'A release across a change of wire version' fail: its old processes then count as able to apply steps. Change: a field of the node's own, false where an older process does not tell; the wire version is 2 again.

--- a/lib/control/src/main/java/craneway/control/node/Membership.java
+++ b/lib/control/src/main/java/craneway/control/node/Membership.java
@@ -190,7 +190,7 @@
         l.spread = pace.lean() && owner == null;
         var to = l.spread ? stores : List.of(stores.get(Math.floorMod(l.turn++, stores.size())));
         for (var s : to) {
-            if (pace.lean() && s.wire >= Node.RENEWALS) all.computeIfAbsent(s.partner, a -> renewals(owner, now)).parts.add(r);
+            if (pace.lean() && s.renewals) all.computeIfAbsent(s.partner, a -> renewals(owner, now)).parts.add(r);
             else alone(r, s, now);
         }
     }
--- a/lib/state/src/main/java/craneway/state/message/Node.java
+++ b/lib/state/src/main/java/craneway/state/message/Node.java
@@ -1,7 +1,7 @@
 package craneway.state.message;
 
 public final class Node {
-    public static final int WIRE = 3, STEPS = 2, RENEWALS = 3;
+    public static final int WIRE = 2, STEPS = 2;
     public static final String STORE = "store", ROUTER = "router";
 
     public String name = "";
@@ -16,6 +16,8 @@
     public int wire;
     /** Where a router takes requests, IP:PORT; empty where it does not tell. */
     public String requester = "";
+    /** Whether it reads renewals of several parts in one message; false where an older process does not tell. */
+    public boolean renewals;
 
     public Node() { }
 
@@ -26,6 +28,7 @@
         this.partner = partner;
         this.incarnation = incarnation;
         this.wire = WIRE;
+        this.renewals = true;
     }
 
     public Node with(long newIncarnation, boolean nowServing) {
@@ -36,6 +39,7 @@
         n.serving = nowServing;
         n.grace = grace;
         n.wire = wire;
+        n.renewals = renewals;
         return n;
     }
 
