--- a/test/sim/src/test/java/craneway/sim/CapacityCost.java
+++ b/test/sim/src/test/java/craneway/sim/CapacityCost.java
@@ -1,20 +1,29 @@
 package craneway.sim;
 
+import craneway.control.node.Membership.View;
 import craneway.control.store.Quorum;
+import craneway.data.placement.ColdShare;
+import craneway.data.placement.Placer;
+import craneway.data.placement.Pool;
+import craneway.data.placement.Prompt;
 import craneway.model.manifest.ManifestReader;
 import craneway.model.unit.Pace;
 import craneway.model.unit.Parts;
 import craneway.state.message.Codec;
 import craneway.state.message.Commands;
+import craneway.state.message.Messages.Reading;
 import craneway.state.message.Node;
 import craneway.state.record.Rows;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntToDoubleFunction;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 
 /** Prints what the control plane costs as nodes, runners, routes and tenants grow: hollow nodes on one simulated clock, lean pace. */
 public final class CapacityCost {
@@ -25,12 +34,13 @@
     private CapacityCost() { }
 
     public static void main(String[] a) {
-        var which = a.length == 0 ? List.of("nodes", "runners", "routes", "tenants", "memory") : List.of(a);
+        var which = a.length == 0 ? List.of("nodes", "runners", "routes", "tenants", "memory", "placing") : List.of(a);
         if (which.contains("nodes")) nodes();
         if (which.contains("runners")) runners();
         if (which.contains("routes")) manifests("routes", ROUTES, n -> text(n, 0, 1));
         if (which.contains("tenants")) manifests("tenants", TENANTS, n -> text(6, n, 1));
         if (which.contains("memory")) memory();
+        if (which.contains("placing")) placing();
     }
 
     private interface Texts { String of(int n); }
@@ -83,7 +93,7 @@
 
     private static List<Cluster.Member> routersOf(Cluster c) { return c.members.values().stream().filter(m -> m.router != null).toList(); }
 
-    private static double mean(List<Cluster.Member> all, java.util.function.ToLongFunction<Cluster.Member> f) { return all.stream().mapToLong(f).average().orElse(0); }
+    private static double mean(List<Cluster.Member> all, ToLongFunction<Cluster.Member> f) { return all.stream().mapToLong(f).average().orElse(0); }
 
     private static double middle(double[] all) {
         var s = all.clone();
@@ -279,16 +289,7 @@
         for (var n : RUNNERS) {
             var s = new Rows.Service();
             s.name = SERVICE;
-            for (var i = 0; i < n; i++) {
-                var p = runner(i, 128);
-                var r = new Rows.Runner();
-                r.name = p.runner;
-                r.address = p.address;
-                r.cell = p.cell;
-                r.slots = p.slots;
-                r.incarnation = 1;
-                s.runners.put(r.name, r);
-            }
+            for (var i = 0; i < n; i++) s.runners.put("runner-" + i, of(runner(i, 128)));
             var b = Codec.write(s);
             row("row of a service with runners", n, heap(() -> Codec.read(Rows.Service.class, b)) / 1e3);
         }
@@ -307,6 +308,70 @@
         }) / 1e3);
     }
 
+    /** What one request costs a router that knows so many runners of one service in three zones, and what a new view costs it. */
+    private static void placing() {
+        table("runners", "choice of a runner, us", "a new view, us", "a notice of reading with three shared parts, bytes");
+        var cost = new double[RUNNERS.length][2];
+        for (var x = -1; x < RUNNERS.length; x++) {
+            var n = RUNNERS[Math.max(0, x)];
+            var pool = new Pool();
+            var placer = new Placer(pool, new ColdShare("r1"), "z1", "r1");
+            var views = new ArrayList<View>();
+            for (var i = 0; i < 40; i++) views.add(view(n));
+            var from = System.nanoTime();
+            views.forEach(pool::follow);
+            var follow = (System.nanoTime() - from) / 1e3 / views.size();
+            var route = pool.view().manifest().routes().match("api.example", "/p0/x");
+            var p = Prompt.of("aa:2500,bb:3700,c:2800", "9000,50");
+            var all = new double[9];
+            for (var t = 0; t < all.length; t++) {
+                from = System.nanoTime();
+                for (var i = 0; i < 200; i++) placer.choose(route, SERVICE, p, Set.of(), 10_000_000);
+                all[t] = (System.nanoTime() - from) / 2e5;
+            }
+            if (x < 0) continue;
+            cost[x] = new double[] {middle(all), follow};
+            row(n, spread(all), follow, Codec.writeTagged(notice()).length);
+        }
+        fit("choice us", RUNNERS, i -> cost[i][0]);
+        fit("view us", RUNNERS, i -> cost[i][1]);
+    }
+
+    private static Reading notice() {
+        var m = new Reading();
+        m.runner = "runner-4711";
+        m.tokens = 9_000;
+        m.parts = new long[] {1L << 60, 1L << 61, 1L << 62};
+        m.sizes = new int[] {2_500, 3_700, 2_800};
+        return m;
+    }
+
+    private static View view(int runners) {
+        var s = new Rows.Service();
+        s.name = SERVICE;
+        for (var z = 0; z < 3; z++) {
+            s.regions.add("r" + (z + 1));
+            s.cellRegions.add("r" + (z + 1));
+            s.cells.add(CELL + z);
+            s.zones.add("z" + (z + 1));
+            s.weights.add(1);
+        }
+        for (var i = 0; i < runners; i++) s.runners.put("runner-" + i, of(runner(i, 128)));
+        var none = new ArrayList<List<Node>>();
+        for (var i = 0; i < Parts.COUNT; i++) none.add(List.of());
+        return new View(new Rows.Manifest(), ManifestReader.readChecked(text(6, 0, 1)).get(), Map.of(SERVICE, s), new long[Parts.COUNT], none, 0, new long[Parts.COUNT]);
+    }
+
+    private static Rows.Runner of(Commands.RunnerPut p) {
+        var r = new Rows.Runner();
+        r.name = p.runner;
+        r.address = p.address;
+        r.cell = p.cell;
+        r.slots = p.slots;
+        r.incarnation = p.incarnation;
+        return r;
+    }
+
     private static double heap(Supplier<Object> made) {
         var kept = new Object[12];
         for (var i = 0; i < kept.length; i++) kept[i] = made.get();
