Answers without a length go out in chunks, so that a cut never looks like an end

HTTP/1.0 has no chunks: a cut is a reset there. Ruled out: the joining of runs (StreamFaultTest), the reader of runners' answers (RunnerFaultTest): both passed before. Elsewhere: the product's own path sets chunks itself and ends at [DONE]. A router that stops waited for its requests, not for their answers to leave, and closed a listener twice (hang): unanswered() and an idempotent close; StopTest.

--- a/lib/gateway/src/main/java/craneway/gateway/proxy/ClientAnswer.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/ClientAnswer.java
@@ -1,6 +1,7 @@
 package craneway.gateway.proxy;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.io.IOException;
@@ -8,6 +9,7 @@
 import java.util.ArrayDeque;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 
 /** The answer to one requester: head, bytes as they come, an end or a visible cut. One I/O thread. */
@@ -20,6 +22,7 @@
     private StreamSinkChannel channel;
     private Runnable drained;
     private long bytes;
+    private boolean endsByClose;
     private boolean ending;
     private boolean over;
 
@@ -35,10 +38,21 @@
     void head(int status, HeaderMap headers) {
         x.setStatusCode(status);
         ForwardedHeaders.copy(headers, x.getResponseHeaders());
+        frame();
         channel = x.getResponseChannel();
         channel.getWriteSetter().set((ChannelListener<StreamSinkChannel>) c -> pump());
     }
 
+    /**
+     * An answer without a length goes out in chunks even where its connection ends with it: left to itself, Undertow would
+     * end it by the close alone, and any cut would look like its end. HTTP/1.0 has no chunks, so that a cut is a reset there.
+     */
+    private void frame() {
+        if (x.getResponseHeaders().contains(Headers.CONTENT_LENGTH)) return;
+        if (x.isHttp11()) x.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        else endsByClose = true;
+    }
+
     /** Copies what it cannot write at once; true while the requester keeps up. */
     boolean write(ByteBuffer b) {
         if (over) return true;
@@ -106,9 +120,18 @@
     void cut() {
         if (over) return;
         over = true;
+        if (endsByClose) reset();
         IoUtils.safeClose(x.getConnection());
     }
 
+    private void reset() {
+        try {
+            ((HttpServerConnection) x.getConnection()).getChannel().setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException e) {
+            // the connection has ended already
+        }
+    }
+
     /** An answer of this router's own. */
     void own(int status, String retryAfter, String text) {
         if (over) return;
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/ClientConnections.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/ClientConnections.java
@@ -73,6 +73,13 @@
         looks++;
     }
 
+    /** How many open connections carry a request that is not answered whole. */
+    int busy() {
+        var n = 0;
+        for (var e : all.entrySet()) if (e.getKey().isOpen() && e.getValue().state == State.BUSY) n++;
+        return n;
+    }
+
     /** How many looks are done. */
     long looks() {
         return looks;
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/ProxyServer.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/ProxyServer.java
@@ -12,8 +12,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.xnio.OptionMap;
@@ -23,11 +27,14 @@
 
 /** Listens for requesters and the platform's check of readiness; one I/O thread carries all requests. */
 public final class ProxyServer implements AutoCloseable {
+    private static final long REPLY_MILLIS = 300;
+
     private final XnioWorker worker;
     private final RequestContext all;
     private final ClientRequestHandler handler;
     private final ClientListener clients;
     private final Undertow readiness;
+    private final AtomicBoolean closed = new AtomicBoolean();
     private volatile boolean leaving;
 
     public ProxyServer(
@@ -97,6 +104,18 @@
         return all.open();
     }
 
+    /** How many clients' connections carry a request whose answer has not left whole. */
+    public int unanswered() {
+        return onIoThread(all.clients()::busy);
+    }
+
+    /** Asks on the I/O thread and waits; the most there can be where that thread does not reply in time. */
+    private int onIoThread(IntSupplier ask) {
+        var reply = new CompletableFuture<Integer>();
+        worker.getIoThread().execute(() -> reply.complete(ask.getAsInt()));
+        return reply.completeOnTimeout(Integer.MAX_VALUE, REPLY_MILLIS, TimeUnit.MILLISECONDS).join();
+    }
+
     /** Is no longer ready, and has clients end their connections with their next answer. */
     public void leave() {
         leaving = true;
@@ -109,9 +128,14 @@
         readiness.stop();
     }
 
+    /** Ends every connection at once; a second call does nothing. */
     @Override
     public void close() {
-        all.close();
+        if (closed.getAndSet(true)) return;
+        onIoThread(() -> {
+            all.close();
+            return 0;
+        });
         stopListening();
         worker.shutdownNow();
     }
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestContext.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestContext.java
@@ -73,8 +73,10 @@
         budget = new RetryBudget(b.retryWindow(), b.retryRatio(), b.retrySlack());
     }
 
+    /** Ends all open requests so that no answer looks complete that is not. */
     void close() {
         closed = true;
+        for (var p : List.copyOf(open)) p.stop();
     }
 
     void start() {
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
@@ -217,6 +217,13 @@
                 + request.prompt.in() + ", " + about);
     }
 
+    /** This router stops: an answer under way is cut, a request without one ends with its connection. */
+    void stop() {
+        if (state == State.OVER) return;
+        if (call != null) call.cancel();
+        cut("this router stops");
+    }
+
     private void cut(String cause) {
         release();
         over();
--- a/lib/process/src/main/java/craneway/process/PlatformRouterProcess.java
+++ b/lib/process/src/main/java/craneway/process/PlatformRouterProcess.java
@@ -64,7 +64,7 @@
         while (host.now() < serve) pause(20_000);
         server.stopListening();
         var until = began + node.bounds().grace() - MARGIN;
-        while (server.open() > 0 && host.now() < until) pause(20_000);
+        while (server.unanswered() > 0 && host.now() < until) pause(20_000);
         close();
         host.note(Event.STOPPED, "router");
     }
--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -16,6 +16,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -240,12 +241,28 @@
                     l.substring(0, l.indexOf(':')).trim(),
                     l.substring(l.indexOf(':') + 1).trim());
         var out = new ByteArrayOutputStream();
-        var whole = h.containsKey("content-length")
-                ? counted(in, out, Integer.parseInt(h.get("content-length")))
-                : chunked(in, out);
+        var whole = body(in, out, h);
         return new Answer(Integer.parseInt(line.split(" ")[1]), h, out.toByteArray(), whole);
     }
 
+    /** Reads a body as RFC 9112, 6.3 frames it: chunks, a length, or all until the connection ends without a reset. */
+    private static boolean body(InputStream in, ByteArrayOutputStream out, Map<String, String> h) throws IOException {
+        if (h.containsKey("transfer-encoding")) return chunked(in, out);
+        if (h.containsKey("content-length")) return counted(in, out, Integer.parseInt(h.get("content-length")));
+        return untilClosed(in, out);
+    }
+
+    private static boolean untilClosed(InputStream in, ByteArrayOutputStream out) throws IOException {
+        try {
+            for (var c = in.read(); c >= 0; c = in.read()) out.write(c);
+            return true;
+        } catch (SocketTimeoutException e) {
+            throw e;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private static boolean counted(InputStream in, ByteArrayOutputStream out, int n) throws IOException {
         var b = in.readNBytes(n);
         out.writeBytes(b);
