Streams end whole only behind their last event; attempts are facts, not two counters

Cause (REFUSED): a promise was decided by arithmetic over two counters that different paths changed; mended one such path (a refused connection counted twice: 503 although the next runner ran it). Attempts keeps what is known of each attempt; a promise needs it of all.

--- a/lib/gateway/src/main/java/craneway/gateway/proxy/AnswerReader.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/AnswerReader.java
@@ -48,6 +48,7 @@
     private byte[] partial = NONE;
     private long left;
     private boolean closes;
+    private boolean endedByClose;
 
     /**
      * Makes a reader.
@@ -68,9 +69,15 @@
         return !closes;
     }
 
+    /** Whether the answer had no length and has ended with its connection. */
+    boolean endedByClose() {
+        return endedByClose;
+    }
+
     /** The peer has ended the connection; an answer without a length ends with it. */
     void closed() throws IOException {
-        if (state == State.UNTIL_CLOSE) state = State.DONE;
+        endedByClose = state == State.UNTIL_CLOSE;
+        if (endedByClose) state = State.DONE;
         else if (state != State.DONE) throw new IOException("closed within the answer");
     }
 
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/IncomingRequest.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/IncomingRequest.java
@@ -38,6 +38,11 @@
         return s == null || !s.matches("\\d{1,9}") ? otherwise : Long.parseLong(s) * 1000;
     }
 
+    /** The id after which the client asks its stream to go on, null where it asks for the whole. */
+    String lastEventId() {
+        return exchange.getRequestHeaders().getFirst(names.lastEventId());
+    }
+
     /** The head for this runner; {@code lastEventId} is null unless a stream is to go on after it. */
     RequestHead head(Placer.Choice choice, long now, String lastEventId) {
         var query = exchange.getQueryString();
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
@@ -40,11 +40,9 @@
     private RunnerCall call;
     private long sentAt;
     private String about = "";
-    private int sends;
-    private boolean stream;
-    private EventStreamScanner events;
+    private final Attempts attempts = new Attempts();
+    private StreamRelay events;
     private boolean joining;
-    private int refusals;
     private XnioExecutor.Key timer;
     private XnioExecutor.Key wake;
 
@@ -67,19 +65,19 @@
         if (state == State.OVER) return;
         var now = all.now();
         all.refresh();
-        if (sends > 0 && !mayAgain(now)) {
+        if (attempts.sent() > 0 && !mayAgain(now)) {
             giveUp("no further try is left");
             return;
         }
         var c = all.placer().choose(route, request.service, request.prompt, tried, now);
         if (c == null) waitOrDecline(now);
-        else if (all.placer().crowds(c, now) && now - request.begun < route.target() * 4 / 10 && sends == 0)
+        else if (all.placer().crowds(c, now) && now - request.begun < route.target() * 4 / 10 && attempts.sent() == 0)
             wake = all.after(AGAIN, this::place);
         else send(c, now);
     }
 
     private boolean mayAgain(long now) {
-        return sends < route.tries() && all.budget().take(all.placer().routers().size(), now);
+        return attempts.sent() < route.tries() && all.budget().take(all.placer().routers().size(), now);
     }
 
     private void waitOrDecline(long now) {
@@ -87,7 +85,7 @@
             cut("no runner to go on with");
             return;
         }
-        if (sends > 0 || now - request.begun > patience()) {
+        if (attempts.sent() > 0 || now - request.begun > patience()) {
             giveUp("no runner may take it");
             return;
         }
@@ -101,7 +99,7 @@
 
     private void send(Placer.Choice c, long now) {
         choice = c;
-        sends++;
+        attempts.begin();
         tried.add(c.runner().id());
         state = State.SENT;
         sentAt = now;
@@ -137,24 +135,30 @@
         var bound = state == State.SENT ? FIRST + 2 * choice.cost() : GAP;
         if (now - since < bound || now - r.heardAt() < bound || r.heardAt() > since && state == State.SENT) return;
         all.silent(r);
-        if (state == State.SENT ? route.repeatable() : events != null && events.lastId() != null) elsewhere(now);
+        if (state == State.SENT ? route.repeatable() : resumable()) elsewhere(now);
     }
 
     private void elsewhere(long now) {
-        if (sends >= route.tries()) return;
+        if (attempts.sent() >= route.tries()) return;
         var c = all.placer().choose(route, request.service, request.prompt, tried, now);
         if (c == null
                 || c.runner().suspected(now)
                 || !all.budget().take(all.placer().routers().size(), now)) return;
         call.cancel();
         release();
-        if (answer.begun()) {
-            joining = true;
-            events.resume();
-        }
+        if (answer.begun()) resume();
         send(c, now);
     }
 
+    private boolean resumable() {
+        return route.resume() && events != null && events.resumable();
+    }
+
+    private void resume() {
+        joining = true;
+        events.resume();
+    }
+
     /** The runner says that it did not run it: another may. */
     private void notRun(String cause) {
         release();
@@ -163,16 +167,14 @@
     }
 
     private void brokenOff(String cause) {
-        var resumes = route.resume() && events != null && events.lastId() != null;
         release();
         state = State.PLACING;
         if (answer.begun()) {
-            if (!resumes) {
+            if (!resumable()) {
                 cut(cause);
                 return;
             }
-            joining = true;
-            events.resume();
+            resume();
             place();
         } else if (route.repeatable()) {
             place();
@@ -189,7 +191,7 @@
             return;
         }
         over();
-        if (sends > refusals) answer.own(502, null, "{\"problem\":\"" + cause + "\"}");
+        if (attempts.mayHaveRun()) answer.own(502, null, "{\"problem\":\"" + cause + "\"}");
         else answer.own(503, all.retryAfter(route, request.service), "{\"problem\":\"" + cause + "\"}");
     }
 
@@ -203,7 +205,7 @@
             return;
         }
         over();
-        if (sends > refusals) answer.own(504, null, "{\"problem\":\"the deadline passed\"}");
+        if (attempts.mayHaveRun()) answer.own(504, null, "{\"problem\":\"the deadline passed\"}");
         else
             answer.own(
                     503,
@@ -213,7 +215,7 @@
 
     private void tellSlow() {
         if (!timing.slow(route, request.begun)) return;
-        all.slow(route.name() + " " + timing.about(request.begun, sentAt) + ", sends " + sends + ", tokens "
+        all.slow(route.name() + " " + timing.about(request.begun, sentAt) + ", sent " + attempts.sent() + ", tokens "
                 + request.prompt.in() + ", " + about);
     }
 
@@ -248,7 +250,6 @@
 
     private final class Heard implements RunnerCall.Sink {
         private final Placer.Choice mine;
-        private boolean plain;
 
         Heard(Placer.Choice mine) {
             this.mine = mine;
@@ -262,7 +263,7 @@
         public void refused(String cause) {
             if (stale()) return;
             mine.runner().suspect(all.now());
-            sends--;
+            attempts.neverLeft();
             notRun(cause);
         }
 
@@ -280,13 +281,13 @@
             if (verdict == AnswerVerdict.NOT_RUN) {
                 if (status == AnswerVerdict.MISDIRECTED) all.misdirected(choice.runner());
                 call.cancel();
-                refusals++;
+                attempts.turnedAway();
                 notRun("status " + status);
             } else if (verdict == AnswerVerdict.FAILURE
                     && !answer.begun()
                     && route.repeatable()
                     && status >= StatusCodes.INTERNAL_SERVER_ERROR
-                    && sends < route.tries()) {
+                    && attempts.sent() < route.tries()) {
                 call.cancel();
                 brokenOff("status " + status);
             } else {
@@ -307,9 +308,8 @@
                 cut("the next runner answered " + status);
                 return;
             }
-            stream = isStream(h);
-            if (stream && route.resume() && !h.contains(Headers.CONTENT_LENGTH)) events = new EventStreamScanner();
-            plain = events == null;
+            var stream = isStream(h);
+            if (stream && !h.contains(Headers.CONTENT_LENGTH)) events = new StreamRelay(route.resume() ? request.lastEventId() : null);
             answer.head(status, h);
             if (stream) answer.write(ByteBuffer.allocate(0));
         }
@@ -324,9 +324,9 @@
             if (stale()) return;
             heard();
             var whole = events == null ? b : events.take(b);
-            if (events != null && events.repeats()) {
+            if (events != null && !events.follows()) {
                 call.cancel();
-                cut("the next runner began anew");
+                cut("the runner does not go on where the stream stands");
                 return;
             }
             if (whole == null || answer.write(whole)) return;
@@ -338,10 +338,11 @@
         public void end() {
             if (stale()) return;
             heard();
-            if (events != null) {
-                var rest = events.rest();
-                if (rest.length > 0) answer.write(ByteBuffer.wrap(rest));
+            if (events != null && call.endedByClose() && !events.mayEnd()) {
+                broken("the connection closed within an event");
+                return;
             }
+            if (events != null) answer.write(events.rest());
             tellSlow();
             release();
             over();
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RunnerCall.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RunnerCall.java
@@ -65,6 +65,11 @@
         return fresh;
     }
 
+    /** Whether the answer had no length, so that only the end of the connection ended it. */
+    boolean endedByClose() {
+        return reader.endedByClose();
+    }
+
     /** Sends it on a kept connection or a fresh one; what may not be repeated only on one that is known to be alive. */
     void start(boolean repeatable, long connect) {
         connectMicros = connect;
--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -36,6 +36,7 @@
          "limits":{"headerBytes":16384,"bodyBytes":100000,"headerMs":3000,"idleMs":15000},
          "routes":[
           {"name":"once","host":"h.example","prefix":"/once/","kind":"once","deadlineMs":5000,"targetMs":500,"shares":[{"service":"s","weight":1}],"tries":2},
+          {"name":"thrice","host":"h.example","prefix":"/thrice/","kind":"once","deadlineMs":5000,"targetMs":500,"shares":[{"service":"s","weight":1}],"tries":3},
           {"name":"again","host":"h.example","prefix":"/again/","kind":"repeatable","deadlineMs":5000,"targetMs":500,"shares":[{"service":"s","weight":1}],"tries":2},
           {"name":"stream","host":"h.example","prefix":"/stream/","kind":"stream","deadlineMs":5000,"targetMs":500,"shares":[{"service":"s","weight":1}],"tries":1},
           {"name":"resume","host":"h.example","prefix":"/resume/","kind":"stream","deadlineMs":5000,"targetMs":500,"resume":true,"shares":[{"service":"s","weight":1}],"tries":2},
