A client that leaves is noticed at once, also before its answer begins

A reset is a leave; an end of the client's bytes alone is not: interim responses tell one that has closed from one that has only stopped sending. Streams and what may be repeated end at the runner, once-only requests run to their end. Waiting for a manifest or a runner ends too.

--- a/lib/gateway/src/main/java/craneway/gateway/proxy/ClientRequestHandler.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/ClientRequestHandler.java
@@ -29,7 +29,8 @@
         if (leaving) x.setPersistent(false);
         x.getRequestReceiver()
                 .receiveFullBytes(
-                        (e, b) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> begin(e, b, all.now())),
+                        (e, b) -> e.dispatch(
+                                SameThreadExecutor.INSTANCE, () -> begin(e, b, all.now(), new ClientPresence(e))),
                         (e, problem) -> e.setStatusCode(400).endExchange());
     }
 
@@ -44,17 +45,19 @@
     }
 
     /** A router that has just started has its manifest in a moment. */
-    private void unready(HttpServerExchange x, byte[] body, ClientAnswer answer, long since) {
-        if (all.now() - since < PATIENCE) all.after(AGAIN, () -> begin(x, body, since));
+    private void unready(
+            HttpServerExchange x, byte[] body, ClientAnswer answer, long since, ClientPresence client) {
+        if (client.gone()) return;
+        if (all.now() - since < PATIENCE) all.after(AGAIN, () -> begin(x, body, since, client));
         else answer.own(503, "1.5", "{\"problem\":\"no manifest is in force here yet\"}");
     }
 
-    private void begin(HttpServerExchange x, byte[] body, long since) {
+    private void begin(HttpServerExchange x, byte[] body, long since, ClientPresence client) {
         all.refresh();
         var m = all.pool().view() == null ? null : all.pool().view().manifest();
         var answer = new ClientAnswer(x, () -> {});
         if (m == null) {
-            unready(x, body, answer, since);
+            unready(x, body, answer, since, client);
             return;
         }
         tellHowLongItIsKept(x, m.limits().idle());
@@ -69,6 +72,6 @@
         if (route == null) answer.own(404, null, "{\"problem\":\"no route\"}");
         else if (x.getRequestHeaders().getFirst(all.names().tryId()) == null)
             answer.own(400, null, "{\"problem\":\"" + all.names().tryId() + " is missing\"}");
-        else new RequestExchange(all, x, route, body, since).begin();
+        else new RequestExchange(all, x, client, route, body, since).begin();
     }
 }
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
@@ -32,6 +32,7 @@
     private final RequestContext all;
     private final IncomingRequest request;
     private final ClientAnswer answer;
+    private final ClientPresence client;
     private final Route route;
     private final AnswerTiming timing = new AnswerTiming();
     private final Set<String> tried = new HashSet<>();
@@ -46,11 +47,13 @@
     private XnioExecutor.Key timer;
     private XnioExecutor.Key wake;
 
-    RequestExchange(RequestContext all, HttpServerExchange x, Route route, byte[] body, long begun) {
+    RequestExchange(
+            RequestContext all, HttpServerExchange x, ClientPresence client, Route route, byte[] body, long begun) {
         this.all = all;
         request = new IncomingRequest(x, all.names(), route, body, begun);
         this.route = route;
         answer = new ClientAnswer(x, this::abandoned);
+        this.client = client;
     }
 
     void begin() {
@@ -127,9 +130,19 @@
         choice.runner().heard(now);
     }
 
-    /** Looks at the runner's silence; what may be repeated goes on elsewhere, everything else waits for its end. */
+    /** Looks whether the client still waits and the runner still speaks. */
     void look(long now) {
-        if (choice == null) return;
+        if (client.gone()) clientLeft();
+        else if (choice != null) lookAtSilence(now);
+    }
+
+    /** What runs once runs to its end without its client, since its effect may be half done; all else ends at once. */
+    private void clientLeft() {
+        if (route.kind() != Route.Kind.ONCE || choice == null) abandoned();
+    }
+
+    /** What may be repeated goes on elsewhere when its runner is silent, everything else waits for its end. */
+    private void lookAtSilence(long now) {
         var r = choice.runner();
         var since = state == State.SENT ? sentAt : timing.heardAt();
         var bound = state == State.SENT ? FIRST + 2 * choice.cost() : GAP;
@@ -186,31 +199,29 @@
     }
 
     private void giveUp(String cause) {
-        if (answer.begun()) {
-            cut(cause);
-            return;
-        }
-        over();
-        if (attempts.mayHaveRun()) answer.own(502, null, "{\"problem\":\"" + cause + "\"}");
-        else answer.own(503, all.retryAfter(route, request.service), "{\"problem\":\"" + cause + "\"}");
+        giveUp(StatusCodes.BAD_GATEWAY, cause);
     }
 
     private void late() {
         if (state == State.OVER) return;
-        var begunAnswer = answer.begun();
         if (call != null) call.cancel();
         release();
-        if (begunAnswer) {
-            cut("its deadline passed");
+        giveUp(StatusCodes.GATEWAY_TIME_OUT, "the deadline passed");
+    }
+
+    /** Ends it; {@code unknown} is the status where it may have run, else the answer promises that it has not. */
+    private void giveUp(int unknown, String cause) {
+        if (answer.begun()) {
+            cut(cause);
             return;
         }
         over();
-        if (attempts.mayHaveRun()) answer.own(504, null, "{\"problem\":\"the deadline passed\"}");
+        if (attempts.mayHaveRun()) answer.own(unknown, null, "{\"problem\":\"" + cause + "\"}");
         else
             answer.own(
-                    503,
+                    StatusCodes.SERVICE_UNAVAILABLE,
                     all.retryAfter(route, request.service),
-                    "{\"problem\":\"the deadline passed; it did not run\"}");
+                    "{\"problem\":\"" + cause + "; it did not run\"}");
     }
 
     private void tellSlow() {
--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -233,6 +233,14 @@
         }
     }
 
+    /** Reads an interim response and tells its status. */
+    static int interim(InputStream in) throws IOException {
+        var status = Integer.parseInt(FakeRunner.line(in).split(" ")[1]);
+        var line = FakeRunner.line(in);
+        while (line != null && !line.isEmpty()) line = FakeRunner.line(in);
+        return status;
+    }
+
     static Answer answer(InputStream in) throws IOException {
         var line = FakeRunner.line(in);
         if (line == null) return new Answer(0, Map.of(), new byte[0], false);
