--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -14,6 +14,7 @@
 import java.io.InputStream;
 import java.net.BindException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -212,10 +213,15 @@
     }
 
     Socket connect() throws IOException {
+        var s = new Socket();
+        connect(s);
+        return s;
+    }
+
+    void connect(Socket s) throws IOException {
         var at = seat.clientAddress().lastIndexOf(':');
-        var s = new Socket("127.0.0.1", Integer.parseInt(seat.clientAddress().substring(at + 1)));
+        s.connect(new InetSocketAddress("127.0.0.1", Integer.parseInt(seat.clientAddress().substring(at + 1))));
         s.setSoTimeout(10_000);
-        return s;
     }
 
     static void send(Socket s, String path, String tryId, String more, String body) throws IOException {
