--- a/lib/gateway/src/main/java/craneway/gateway/proxy/AnswerTiming.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/AnswerTiming.java
@@ -19,11 +19,18 @@
     }
 
     /** Whether the first piece or a pause took longer than the route's targets. */
-    boolean slow(Route route, long begun) {
+    private boolean slow(Route route, long begun) {
         return firstAt - begun > route.target() || route.pause() != 0 && gap > route.pause();
     }
 
-    String about(long begun, long sentAt) {
+    /** Tells of an answer that was slow. */
+    void tellSlow(RequestContext all, IncomingRequest request, long sentAt, int sent, String choice) {
+        if (!slow(request.route, request.begun)) return;
+        all.slow(request.route.name() + " " + about(request.begun, sentAt) + ", sent " + sent + ", tokens "
+                + request.prompt.in() + ", " + choice);
+    }
+
+    private String about(long begun, long sentAt) {
         return "first " + (firstAt - begun) / 1000 + " ms, sent after " + (sentAt - begun) / 1000 + " ms, pause "
                 + gap / 1000 + " ms";
     }
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
@@ -14,20 +14,11 @@
 
 /** One request from its last byte to the end of its answer: sent at most once unless its route allows more. */
 final class RequestExchange {
-    private enum State {
-        PLACING,
-        SENT,
-        ANSWERING,
-        OVER
-    }
-
     /** How long a router that has just started waits for its manifest and the runners it names. */
     static final long STARTING = 1_200_000;
 
     private static final long CONNECT = 400_000;
     private static final long AGAIN = 25_000;
-    private static final long FIRST = 300_000;
-    private static final long GAP = 600_000;
 
     private final RequestContext all;
     private final IncomingRequest request;
@@ -36,7 +27,7 @@
     private final Route route;
     private final AnswerTiming timing = new AnswerTiming();
     private final Set<String> tried = new HashSet<>();
-    private State state = State.PLACING;
+    private ExchangeState state = ExchangeState.PLACING;
     private Placer.Choice choice;
     private RunnerCall call;
     private long sentAt;
@@ -65,7 +56,7 @@
     }
 
     private void place() {
-        if (state == State.OVER) return;
+        if (state == ExchangeState.OVER) return;
         var now = all.now();
         all.refresh();
         if (attempts.sent() > 0 && !mayAgain(now)) {
@@ -104,7 +95,7 @@
         choice = c;
         attempts.begin();
         tried.add(c.runner().id());
-        state = State.SENT;
+        state = ExchangeState.SENT;
         sentAt = now;
         all.placer().started(c, request.prompt, now);
         all.tell(c, request.prompt);
@@ -143,12 +134,13 @@
 
     /** What may be repeated goes on elsewhere when its runner is silent, everything else waits for its end. */
     private void lookAtSilence(long now) {
-        var r = choice.runner();
-        var since = state == State.SENT ? sentAt : timing.heardAt();
-        var bound = state == State.SENT ? FIRST + 2 * choice.cost() : GAP;
-        if (now - since < bound || now - r.heardAt() < bound || r.heardAt() > since && state == State.SENT) return;
-        all.silent(r);
-        if (state == State.SENT ? route.repeatable() : resumable()) elsewhere(now);
+        var waits = state == ExchangeState.SENT;
+        var silent = waits
+                ? RunnerSilence.beforeItsAnswer(choice, sentAt, now)
+                : RunnerSilence.withinItsAnswer(choice, timing.heardAt(), now);
+        if (!silent) return;
+        all.silent(choice.runner());
+        if (waits ? route.repeatable() : resumable()) elsewhere(now);
     }
 
     private void elsewhere(long now) {
@@ -173,15 +165,15 @@
     }
 
     /** The runner says that it did not run it: another may. */
-    private void notRun(String cause) {
+    private void notRun() {
         release();
-        state = State.PLACING;
+        state = ExchangeState.PLACING;
         place();
     }
 
     private void brokenOff(String cause) {
         release();
-        state = State.PLACING;
+        state = ExchangeState.PLACING;
         if (answer.begun()) {
             if (!resumable()) {
                 cut(cause);
@@ -203,7 +195,7 @@
     }
 
     private void late() {
-        if (state == State.OVER) return;
+        if (state == ExchangeState.OVER) return;
         if (call != null) call.cancel();
         release();
         giveUp(StatusCodes.GATEWAY_TIME_OUT, "the deadline passed");
@@ -224,15 +216,9 @@
                     "{\"problem\":\"" + cause + "; it did not run\"}");
     }
 
-    private void tellSlow() {
-        if (!timing.slow(route, request.begun)) return;
-        all.slow(route.name() + " " + timing.about(request.begun, sentAt) + ", sent " + attempts.sent() + ", tokens "
-                + request.prompt.in() + ", " + about);
-    }
-
     /** This router stops: an answer under way is cut, a request without one ends with its connection. */
     void stop() {
-        if (state == State.OVER) return;
+        if (state == ExchangeState.OVER) return;
         if (call != null) call.cancel();
         cut("this router stops");
     }
@@ -246,14 +232,14 @@
 
     /** The requester went away. */
     private void abandoned() {
-        if (state == State.OVER) return;
+        if (state == ExchangeState.OVER) return;
         if (call != null) call.cancel();
         release();
         over();
     }
 
     private void over() {
-        state = State.OVER;
+        state = ExchangeState.OVER;
         if (timer != null) timer.remove();
         if (wake != null) wake.remove();
         all.remove(this);
@@ -267,7 +253,7 @@
         }
 
         private boolean stale() {
-            return state == State.OVER || choice != mine;
+            return state == ExchangeState.OVER || choice != mine;
         }
 
         @Override
@@ -275,7 +261,7 @@
             if (stale()) return;
             mine.runner().suspect(all.now());
             attempts.neverLeft();
-            notRun(cause);
+            notRun();
         }
 
         @Override
@@ -293,7 +279,7 @@
                 if (status == AnswerVerdict.MISDIRECTED) all.misdirected(choice.runner());
                 call.cancel();
                 attempts.turnedAway();
-                notRun("status " + status);
+                notRun();
             } else if (verdict == AnswerVerdict.FAILURE
                     && !answer.begun()
                     && route.repeatable()
@@ -312,24 +298,19 @@
         }
 
         private void begin(int status, HeaderMap h) {
-            state = State.ANSWERING;
+            state = ExchangeState.ANSWERING;
             if (answer.begun()) {
-                if (status / 100 == 2 && isStream(h)) return;
+                if (status / 100 == 2 && StreamRelay.carries(h)) return;
                 call.cancel();
                 cut("the next runner answered " + status);
                 return;
             }
-            var stream = isStream(h);
+            var stream = StreamRelay.carries(h);
             if (stream && !h.contains(Headers.CONTENT_LENGTH)) events = new StreamRelay(route.resume() ? request.lastEventId() : null);
             answer.head(status, h);
             if (stream) answer.write(ByteBuffer.allocate(0));
         }
 
-        private static boolean isStream(HeaderMap h) {
-            var type = h.getFirst(Headers.CONTENT_TYPE);
-            return type != null && type.startsWith("text/event-stream");
-        }
-
         @Override
         public void chunk(ByteBuffer b) {
             if (stale()) return;
@@ -354,7 +335,7 @@
                 return;
             }
             if (events != null) answer.write(events.rest());
-            tellSlow();
+            timing.tellSlow(all, request, sentAt, attempts.sent(), about);
             release();
             over();
             answer.end();
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/StreamRelay.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/StreamRelay.java
@@ -1,5 +1,7 @@
 package craneway.gateway.proxy;
 
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
 
 /** The events of one client's stream, from one run or from several that go on after one another. Decides without I/O. */
@@ -19,6 +21,12 @@
         joined = after != null;
     }
 
+    /** Whether an answer with this head is an event stream. */
+    static boolean carries(HeaderMap headers) {
+        var type = headers.getFirst(Headers.CONTENT_TYPE);
+        return type != null && type.startsWith("text/event-stream");
+    }
+
     /** Takes bytes of a run; returns the whole events to pass on, null for none. */
     ByteBuffer take(ByteBuffer bytes) {
         var whole = splitter.take(bytes);
--- a/test/pass/src/test/java/craneway/pass/PassTest.java
+++ b/test/pass/src/test/java/craneway/pass/PassTest.java
@@ -10,6 +10,7 @@
 import craneway.state.message.Plan;
 import craneway.state.record.Rows;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -206,13 +207,17 @@
 
     @Test
     void aConnectionClosedWhileIdleIsNotUsedAgain() throws Exception {
+        var closed = new Semaphore(0);
         try (var r = new FakeRunner(x -> {
             x.ok("one");
             x.socket().close();
+            closed.release();
         })) {
             bed.runner("i1", r, "a");
-            for (var i = 0; i < 5; i++)
+            for (var i = 0; i < 5; i++) {
                 assertEquals("one", bed.ask("/once/x", "t" + i, "").text());
+                closed.acquire();
+            }
         }
     }
 
--- a/test/pass/src/test/java/craneway/pass/ScriptedRunner.java
+++ b/test/pass/src/test/java/craneway/pass/ScriptedRunner.java
@@ -73,8 +73,13 @@
         }
 
         void body() throws IOException {
+            readBody();
+        }
+
+        /** Reads the body of the request whose head was read last. */
+        String readBody() throws IOException {
             var n = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
-            socket.getInputStream().readNBytes(n);
+            return new String(socket.getInputStream().readNBytes(n), StandardCharsets.ISO_8859_1);
         }
 
         void write(String raw) throws IOException {
