--- a/lib/gateway/src/main/java/craneway/gateway/proxy/ClientRequestHandler.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/ClientRequestHandler.java
@@ -45,8 +45,7 @@
     }
 
     /** A router that has just started has its manifest in a moment. */
-    private void unready(
-            HttpServerExchange x, byte[] body, ClientAnswer answer, long since, ClientPresence client) {
+    private void unready(HttpServerExchange x, byte[] body, ClientAnswer answer, long since, ClientPresence client) {
         if (client.gone()) return;
         if (all.now() - since < PATIENCE) all.after(AGAIN, () -> begin(x, body, since, client));
         else answer.own(503, "1.5", "{\"problem\":\"no manifest is in force here yet\"}");
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/ProxyServer.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/ProxyServer.java
@@ -113,7 +113,8 @@
     private int onIoThread(IntSupplier ask) {
         var reply = new CompletableFuture<Integer>();
         worker.getIoThread().execute(() -> reply.complete(ask.getAsInt()));
-        return reply.completeOnTimeout(Integer.MAX_VALUE, REPLY_MILLIS, TimeUnit.MILLISECONDS).join();
+        return reply.completeOnTimeout(Integer.MAX_VALUE, REPLY_MILLIS, TimeUnit.MILLISECONDS)
+                .join();
     }
 
     /** Is no longer ready, and has clients end their connections with their next answer. */
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
@@ -71,7 +71,8 @@
     }
 
     private boolean mayAgain(long now) {
-        return attempts.sent() < route.tries() && all.budget().take(all.placer().routers().size(), now);
+        return attempts.sent() < route.tries()
+                && all.budget().take(all.placer().routers().size(), now);
     }
 
     private void waitOrDecline(long now) {
@@ -306,7 +307,8 @@
                 return;
             }
             var stream = StreamRelay.carries(h);
-            if (stream && !h.contains(Headers.CONTENT_LENGTH)) events = new StreamRelay(route.resume() ? request.lastEventId() : null);
+            if (stream && !h.contains(Headers.CONTENT_LENGTH))
+                events = new StreamRelay(route.resume() ? request.lastEventId() : null);
             answer.head(status, h);
             if (stream) answer.write(ByteBuffer.allocate(0));
         }
--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -220,7 +220,8 @@
 
     void connect(Socket s) throws IOException {
         var at = seat.clientAddress().lastIndexOf(':');
-        s.connect(new InetSocketAddress("127.0.0.1", Integer.parseInt(seat.clientAddress().substring(at + 1))));
+        s.connect(new InetSocketAddress(
+                "127.0.0.1", Integer.parseInt(seat.clientAddress().substring(at + 1))));
         s.setSoTimeout(10_000);
     }
 
--- a/test/pass/src/test/java/craneway/pass/ClientLeavesTest.java
+++ b/test/pass/src/test/java/craneway/pass/ClientLeavesTest.java
@@ -21,7 +21,8 @@
     private static final String ONE = "id: 1\ndata: a\n\n";
 
     private static String request(String path) {
-        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nTry: t1\r\nDeadline: 4000\r\nContent-Length: 0\r\n\r\n";
+        return "POST " + path
+                + " HTTP/1.1\r\nHost: h.example\r\nTry: t1\r\nDeadline: 4000\r\nContent-Length: 0\r\n\r\n";
     }
 
     private static void send(Socket s, String raw) throws IOException {
@@ -36,7 +37,12 @@
 
     @ParameterizedTest
     @CsvSource({
-        "/again/x,close", "/again/x,reset", "/stream/x,close", "/stream/x,reset", "/resume/x,close", "/resume/x,reset"
+        "/again/x,close",
+        "/again/x,reset",
+        "/stream/x,close",
+        "/stream/x,reset",
+        "/resume/x,close",
+        "/resume/x,reset"
     })
     void aRunBeforeItsAnswerIsEndedSoon(String path, String how) throws Exception {
         var ran = new CountDownLatch(1);
--- a/test/pass/src/test/java/craneway/pass/RefusalTest.java
+++ b/test/pass/src/test/java/craneway/pass/RefusalTest.java
@@ -69,8 +69,9 @@
     @ParameterizedTest
     @MethodSource("sequences")
     void noPromiseAfterARun(List<Behaviour> sequence) throws Exception {
-        var listening =
-                sequence.stream().filter(b -> b != Behaviour.REFUSES_THE_CONNECTION).toList();
+        var listening = sequence.stream()
+                .filter(b -> b != Behaviour.REFUSES_THE_CONNECTION)
+                .toList();
         var next = new AtomicInteger();
         var runners = new ArrayList<ScriptedRunner>();
         try (var bed = new Bed()) {
