--- a/lib/gateway/src/main/java/craneway/gateway/proxy/ProxyServer.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/ProxyServer.java
@@ -37,6 +37,14 @@
     private final AtomicBoolean closed = new AtomicBoolean();
     private volatile boolean leaving;
 
+    /**
+     * Makes a server and begins to listen.
+     *
+     * @param now the steady clock, microseconds
+     * @param view what this node knows of the fleet
+     * @param ready whether this node may count as ready
+     * @param send sends a message to the peer address of another router
+     */
     public ProxyServer(
             LongSupplier now,
             Supplier<View> view,
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
@@ -60,7 +60,7 @@
         var now = all.now();
         all.refresh();
         if (attempts.sent() > 0 && !mayAgain(now)) {
-            giveUp("no further try is left");
+            giveUp(StatusCodes.BAD_GATEWAY, "no further try is left");
             return;
         }
         var c = all.placer().choose(route, request.service, request.prompt, tried, now);
@@ -81,7 +81,7 @@
             return;
         }
         if (attempts.sent() > 0 || now - request.begun > patience()) {
-            giveUp("no runner may take it");
+            giveUp(StatusCodes.BAD_GATEWAY, "no runner may take it");
             return;
         }
         tried.clear();
@@ -191,10 +191,6 @@
         }
     }
 
-    private void giveUp(String cause) {
-        giveUp(StatusCodes.BAD_GATEWAY, cause);
-    }
-
     private void late() {
         if (state == ExchangeState.OVER) return;
         if (call != null) call.cancel();
--- /dev/null
+++ b/lib/gateway/src/test/java/craneway/gateway/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the parts of the proxy path that decide without I/O. */
+package craneway.gateway.proxy;
--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -9,7 +9,6 @@
 import craneway.state.message.Node;
 import craneway.state.record.Rows;
 import io.undertow.util.HttpString;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.BindException;
@@ -17,7 +16,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -240,64 +238,8 @@
         }
     }
 
-    /** Reads an interim response and tells its status. */
-    static int interim(InputStream in) throws IOException {
-        var status = Integer.parseInt(FakeRunner.line(in).split(" ")[1]);
-        var line = FakeRunner.line(in);
-        while (line != null && !line.isEmpty()) line = FakeRunner.line(in);
-        return status;
-    }
-
     static Answer answer(InputStream in) throws IOException {
-        var line = FakeRunner.line(in);
-        if (line == null) return new Answer(0, Map.of(), new byte[0], false);
-        var h = new TreeMap<String, String>(String.CASE_INSENSITIVE_ORDER);
-        for (var l = FakeRunner.line(in); l != null && !l.isEmpty(); l = FakeRunner.line(in))
-            h.put(
-                    l.substring(0, l.indexOf(':')).trim(),
-                    l.substring(l.indexOf(':') + 1).trim());
-        var out = new ByteArrayOutputStream();
-        var whole = body(in, out, h);
-        return new Answer(Integer.parseInt(line.split(" ")[1]), h, out.toByteArray(), whole);
-    }
-
-    /** Reads a body as RFC 9112, 6.3 frames it: chunks, a length, or all until the connection ends without a reset. */
-    private static boolean body(InputStream in, ByteArrayOutputStream out, Map<String, String> h) throws IOException {
-        if (h.containsKey("transfer-encoding")) return chunked(in, out);
-        if (h.containsKey("content-length")) return counted(in, out, Integer.parseInt(h.get("content-length")));
-        return untilClosed(in, out);
-    }
-
-    private static boolean untilClosed(InputStream in, ByteArrayOutputStream out) throws IOException {
-        try {
-            for (var c = in.read(); c >= 0; c = in.read()) out.write(c);
-            return true;
-        } catch (SocketTimeoutException e) {
-            throw e;
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
-    private static boolean counted(InputStream in, ByteArrayOutputStream out, int n) throws IOException {
-        var b = in.readNBytes(n);
-        out.writeBytes(b);
-        return b.length == n;
-    }
-
-    private static boolean chunked(InputStream in, ByteArrayOutputStream out) {
-        try {
-            for (var l = FakeRunner.line(in); l != null; l = FakeRunner.line(in)) {
-                var n = Integer.parseInt(l, 16);
-                if (n == 0) return FakeRunner.line(in) != null;
-                var b = in.readNBytes(n);
-                out.writeBytes(b);
-                if (b.length < n || FakeRunner.line(in) == null) return false;
-            }
-        } catch (IOException e) {
-            return false;
-        }
-        return false;
+        return AnswerParser.answer(in);
     }
 
     @Override
--- a/test/pass/src/test/java/craneway/pass/ClientLeavesTest.java
+++ b/test/pass/src/test/java/craneway/pass/ClientLeavesTest.java
@@ -157,7 +157,7 @@
                 ran.await();
                 s.shutdownOutput();
                 var in = s.getInputStream();
-                assertEquals(INTERIM_STATUS, Bed.interim(in));
+                assertEquals(INTERIM_STATUS, AnswerParser.interim(in));
                 go.countDown();
                 assertEquals("body of t1", Bed.answer(in).text());
             }
