--- a/lib/gateway/src/main/java/craneway/gateway/proxy/HeaderVocabulary.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/HeaderVocabulary.java
@@ -17,5 +17,7 @@
         HttpString coldMs,
         HttpString urgency,
         HttpString lastEventId,
+        HttpString weightVersions,
+        HttpString expectVersion,
         String readyPath,
         String reportPath) {}
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/IncomingRequest.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/IncomingRequest.java
@@ -43,8 +43,8 @@
         return exchange.getRequestHeaders().getFirst(names.lastEventId());
     }
 
-    /** The head for this runner; {@code lastEventId} is null unless a stream is to go on after it. */
-    RequestHead head(Placer.Choice choice, long now, String lastEventId) {
+    /** The head for this runner; {@code stream} is null unless another run of it is to go on. */
+    RequestHead head(Placer.Choice choice, long now, StreamRelay stream) {
         var query = exchange.getQueryString();
         var path = query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + "?" + query;
         var method = exchange.getRequestMethod();
@@ -56,7 +56,9 @@
         if (body.length > 0 || method.equals(Methods.POST) || method.equals(Methods.PUT))
             h.put(Headers.CONTENT_LENGTH, body.length);
         else h.remove(Headers.CONTENT_LENGTH);
-        if (lastEventId != null) h.put(names.lastEventId(), lastEventId);
+        if (stream == null) return new RequestHead(method, path, h);
+        h.put(names.lastEventId(), stream.lastId());
+        if (stream.version() != null) h.put(names.expectVersion(), stream.version());
         return new RequestHead(method, path, h);
     }
 }
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestExchange.java
@@ -5,7 +5,6 @@
 import craneway.model.manifest.Route;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
@@ -22,7 +21,7 @@
 
     private final RequestContext all;
     private final IncomingRequest request;
-    private final ClientAnswer answer;
+    private final AnswerRelay answer;
     private final ClientPresence client;
     private final Route route;
     private final AnswerTiming timing = new AnswerTiming();
@@ -33,8 +32,6 @@
     private long sentAt;
     private String about = "";
     private final Attempts attempts = new Attempts();
-    private StreamRelay events;
-    private boolean joining;
     private XnioExecutor.Key timer;
     private XnioExecutor.Key wake;
 
@@ -43,7 +40,8 @@
         this.all = all;
         request = new IncomingRequest(x, all.names(), route, body, begun);
         this.route = route;
-        answer = new ClientAnswer(x, this::abandoned);
+        answer = new AnswerRelay(
+                new ClientAnswer(x, this::abandoned), route, all.names().weightVersions());
         this.client = client;
     }
 
@@ -104,7 +102,7 @@
         call = new RunnerCall(
                 all.connections(),
                 c.runner().address(),
-                request.head(c, now, joining ? events.lastId() : null),
+                request.head(c, now, answer.goesOnWith()),
                 request.body,
                 new Heard(c));
         call.start(route.repeatable(), CONNECT);
@@ -141,7 +139,7 @@
                 : RunnerSilence.withinItsAnswer(choice, timing.heardAt(), now);
         if (!silent) return;
         all.silent(choice.runner());
-        if (waits ? route.repeatable() : resumable()) elsewhere(now);
+        if (waits ? route.repeatable() : answer.resumable()) elsewhere(now);
     }
 
     private void elsewhere(long now) {
@@ -152,19 +150,10 @@
                 || !all.budget().take(all.placer().routers().size(), now)) return;
         call.cancel();
         release();
-        if (answer.begun()) resume();
+        if (answer.begun()) answer.resume();
         send(c, now);
     }
 
-    private boolean resumable() {
-        return route.resume() && events != null && events.resumable();
-    }
-
-    private void resume() {
-        joining = true;
-        events.resume();
-    }
-
     /** The runner says that it did not run it: another may. */
     private void notRun() {
         release();
@@ -176,18 +165,18 @@
         release();
         state = ExchangeState.PLACING;
         if (answer.begun()) {
-            if (!resumable()) {
+            if (!answer.resumable()) {
                 cut(cause);
                 return;
             }
-            resume();
+            answer.resume();
             place();
         } else if (route.repeatable()) {
             place();
         } else {
             over();
             all.note(Event.CUT_STREAM, route.name() + " " + request.tryId + " may have run: " + cause);
-            answer.own(502, null, "{\"problem\":\"the runner broke off; it may have run\"}");
+            answer.own(StatusCodes.BAD_GATEWAY, null, "the runner broke off; it may have run");
         }
     }
 
@@ -205,12 +194,12 @@
             return;
         }
         over();
-        if (attempts.mayHaveRun()) answer.own(unknown, null, "{\"problem\":\"" + cause + "\"}");
+        if (attempts.mayHaveRun()) answer.own(unknown, null, cause);
         else
             answer.own(
                     StatusCodes.SERVICE_UNAVAILABLE,
                     all.retryAfter(route, request.service),
-                    "{\"problem\":\"" + cause + "; it did not run\"}");
+                    cause + "; it did not run");
     }
 
     /** This router stops: an answer under way is cut, a request without one ends with its connection. */
@@ -273,7 +262,7 @@
             choice.runner().heard(all.now());
             all.load(choice.runner(), h.getFirst(n.load()));
             if (verdict == AnswerVerdict.NOT_RUN) {
-                if (status == AnswerVerdict.MISDIRECTED) all.misdirected(choice.runner());
+                if (status == AnswerVerdict.MISDIRECTED && !answer.expectsVersion()) all.misdirected(choice.runner());
                 call.cancel();
                 attempts.turnedAway();
                 notRun();
@@ -296,43 +285,45 @@
 
         private void begin(int status, HeaderMap h) {
             state = ExchangeState.ANSWERING;
-            if (answer.begun()) {
-                if (status / 100 == 2 && StreamRelay.carries(h)) return;
-                call.cancel();
-                cut("the next runner answered " + status);
-                return;
-            }
-            var stream = StreamRelay.carries(h);
-            if (stream && !h.contains(Headers.CONTENT_LENGTH))
-                events = new StreamRelay(route.resume() ? request.lastEventId() : null);
-            answer.head(status, h);
-            if (stream) answer.write(ByteBuffer.allocate(0));
+            if (answer.begin(status, h, request.lastEventId())) return;
+            call.cancel();
+            cut("the next runner answered " + status + ", or with other weights");
         }
 
         @Override
         public void chunk(ByteBuffer b) {
             if (stale()) return;
             heard();
-            var whole = events == null ? b : events.take(b);
-            if (events != null && !events.follows()) {
-                call.cancel();
-                cut("the runner does not go on where the stream stands");
-                return;
+            switch (answer.take(b)) {
+                case PASSED_ON -> {}
+                case CLIENT_IS_SLOW -> {
+                    call.pause();
+                    answer.whenDrained(call::resume);
+                }
+                case DOES_NOT_FOLLOW -> {
+                    call.cancel();
+                    cut("the runner does not go on where the stream stands");
+                }
             }
-            if (whole == null || answer.write(whole)) return;
-            call.pause();
-            answer.whenDrained(call::resume);
         }
 
         @Override
         public void end() {
             if (stale()) return;
             heard();
-            if (events != null && call.endedByClose() && !events.mayEnd()) {
-                broken("the connection closed within an event");
-                return;
-            }
-            if (events != null) answer.write(events.rest());
+            if (!call.endedByClose()) whole();
+            else if (!answer.mayEnd()) broken("the connection closed within an event");
+            else all.connections().alive(mine.runner().address(), CONNECT, this::lives);
+        }
+
+        /** The end of the connection was the end of the answer only where its runner lives on. */
+        private void lives(boolean alive) {
+            if (stale()) return;
+            if (alive) whole();
+            else broken("the connection closed and nothing listens there any more");
+        }
+
+        private void whole() {
             timing.tellSlow(all, request, sentAt, attempts.sent(), about);
             release();
             over();
@@ -345,5 +336,13 @@
             all.broke(mine.runner(), cause);
             brokenOff(cause);
         }
+
+        @Override
+        public void failed(RuntimeException fault) {
+            all.note(Event.INTERNAL, route.name() + " " + request.tryId + ": " + fault);
+            if (stale()) return;
+            release();
+            giveUp(StatusCodes.BAD_GATEWAY, "an internal fault");
+        }
     }
 }
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RunnerCall.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RunnerCall.java
@@ -23,8 +23,12 @@
         void chunk(ByteBuffer b);
 
         void end();
+
         /** The request may have run. */
         void broken(String cause);
+
+        /** The answer can't be passed on further: some of its bytes are lost in this process. */
+        void failed(RuntimeException fault);
     }
 
     private final RunnerConnections connections;
@@ -155,9 +159,17 @@
             }
         } catch (IOException e) {
             fail(e.toString());
+        } catch (RuntimeException e) {
+            failed(e);
         }
     }
 
+    /** What was in hand when it was thrown is lost; the answer must not go on behind it. */
+    private void failed(RuntimeException e) {
+        cancel();
+        sink.failed(e);
+    }
+
     void pause() {
         if (paused || connection == null) return;
         paused = true;
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RunnerConnections.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RunnerConnections.java
@@ -8,7 +8,10 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -90,6 +93,21 @@
                         (IoFuture<? extends StreamConnection> x, Void v) -> io.execute(() -> opened(x, then)), null);
     }
 
+    /** Says within this time whether anything accepts connections there; such a connection rests for a later request. */
+    void alive(String address, long within, Consumer<Boolean> then) {
+        var pending = new AtomicBoolean(true);
+        var timer = io.executeAfter(() -> answerOnce(pending, false, then), within, TimeUnit.MICROSECONDS);
+        open(address, (connection, cause) -> {
+            timer.remove();
+            if (connection != null) spare(address, connection);
+            answerOnce(pending, connection != null, then);
+        });
+    }
+
+    private static void answerOnce(AtomicBoolean pending, boolean alive, Consumer<Boolean> then) {
+        if (pending.getAndSet(false)) then.accept(alive);
+    }
+
     private static void opened(IoFuture<? extends StreamConnection> x, BiConsumer<StreamConnection, String> then) {
         try {
             then.accept(x.get(), null);
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/StreamPosition.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/StreamPosition.java
@@ -1,12 +1,11 @@
 package craneway.gateway.proxy;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 
 /**
- * Where a stream of events stands: the id of the last event passed on, and whether the events of a run that is to go on
- * after it do so. Ids rise; where they are whole numbers a run that goes on leaves out no more than the stream's largest
- * step so far. Decides without I/O.
+ * Where a stream of events stands: id and weight version of the last event passed on, and whether the events that come
+ * next follow it. Ids rise; where they are whole numbers a run that goes on leaves out no more than the stream's largest
+ * step so far, and it is of the same weights. Decides without I/O.
  */
 final class StreamPosition {
     private static final int MOST_DIGITS = 18;
@@ -18,13 +17,17 @@
     private boolean resumable;
     private boolean joining;
     private boolean any;
+    private final String versionField;
+    private String version;
 
     /**
      * Makes the position of a stream that begins.
      *
      * @param after the id after which the client asked the stream to go on, null where it asked for the whole
+     * @param versionField the field by which an event tells another version of the weights
      */
-    StreamPosition(String after) {
+    StreamPosition(String after, String versionField) {
+        this.versionField = versionField;
         if (after == null || after.isBlank()) return;
         lastId = after.trim();
         lastNumber = number(lastId);
@@ -46,21 +49,33 @@
         return any;
     }
 
+    /** The version of the weights that made the last event passed on; null where none was told. */
+    String version() {
+        return version;
+    }
+
+    /** A run begins whose head tells this version of the weights, null for none; false where it may not go on with these. */
+    boolean begins(String told) {
+        if (joining && version != null && told != null && !told.equals(version)) return false;
+        if (told != null) version = told;
+        return true;
+    }
+
     /** The events that come next are of another run, which is to go on after the last id. */
     void resume() {
         joining = true;
     }
 
-    /** Looks at whole events before they are passed on; false where the first does not follow the last one passed on. */
+    /** Looks at whole events before they are passed on; false where one does not follow the one before it. */
     boolean follows(ByteBuffer events) {
         var bytes = events.array();
         var end = events.arrayOffset() + events.limit();
-        var event = new Event(bytes);
+        var event = new StreamEvent(bytes, versionField);
         for (var at = events.arrayOffset() + events.position(); at < end; ) {
             var lineEnd = lineEnd(bytes, at, end);
             if (!event.line(at, lineEnd)) {
                 if (!passed(event)) return false;
-                event = new Event(bytes);
+                event = new StreamEvent(bytes, versionField);
             }
             at = lineEnd + 1;
         }
@@ -73,62 +88,39 @@
         return at;
     }
 
-    private boolean passed(Event event) {
-        if (event.id == null) {
-            if (event.data) resumable = false;
-            any |= event.data;
+    private boolean passed(StreamEvent event) {
+        if (event.version() != null) version = event.version();
+        if (event.id() == null) {
+            if (event.hasData()) resumable = false;
+            any |= event.hasData();
             return true;
         }
-        var number = number(event.id);
-        if (joining && !goesOn(event.id, number)) return false;
+        var number = number(event.id());
+        if (joining ? !goesOn(event.id(), number) : !rises(event.id(), number)) return false;
         if (!joining && number > lastNumber && lastNumber != NO_NUMBER)
             largestStep = Math.max(largestStep, number - lastNumber);
         joining = false;
-        lastId = event.id;
+        lastId = event.id();
         lastNumber = number;
         resumable = true;
         any = true;
         return true;
     }
 
-    private boolean goesOn(String id, long number) {
+    private boolean rises(String id, long number) {
         if (lastId == null) return true;
         if (number == NO_NUMBER || lastNumber == NO_NUMBER) return !id.equals(lastId);
-        return number > lastNumber && (largestStep == 0 || number - lastNumber <= largestStep);
+        return number > lastNumber;
+    }
+
+    private boolean goesOn(String id, long number) {
+        if (!rises(id, number)) return false;
+        var known = lastNumber != NO_NUMBER && number != NO_NUMBER && largestStep > 0;
+        return !known || number - lastNumber <= largestStep;
     }
 
     private static long number(String id) {
         var whole = !id.isEmpty() && id.length() <= MOST_DIGITS && id.chars().allMatch(c -> c >= '0' && c <= '9');
         return whole ? Long.parseLong(id) : NO_NUMBER;
     }
-
-    /** The fields of one event that matter here. */
-    private static final class Event {
-        private final byte[] bytes;
-        private String id;
-        private boolean data;
-
-        Event(byte[] bytes) {
-            this.bytes = bytes;
-        }
-
-        /** Takes a line; false for the empty one that ends the event. */
-        boolean line(int from, int end) {
-            var to = end > from && bytes[end - 1] == '\r' ? end - 1 : end;
-            if (to == from) return false;
-            if (begins(from, to, "id:")) id = text(from + 3, to);
-            else if (begins(from, to, "data")) data = true;
-            return true;
-        }
-
-        private boolean begins(int from, int to, String name) {
-            if (to - from < name.length()) return false;
-            for (var i = 0; i < name.length(); i++) if (bytes[from + i] != name.charAt(i)) return false;
-            return true;
-        }
-
-        private String text(int from, int to) {
-            return new String(bytes, from, to - from, StandardCharsets.UTF_8).trim();
-        }
-    }
 }
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/StreamRelay.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/StreamRelay.java
@@ -2,12 +2,15 @@
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 
 /** The events of one client's stream, from one run or from several that go on after one another. Decides without I/O. */
 final class StreamRelay {
     private final EventSplitter splitter = new EventSplitter();
     private final StreamPosition position;
+    private final HttpString versions;
     private boolean follows = true;
     private boolean joined;
 
@@ -15,9 +18,11 @@
      * Makes the relay of a stream that begins.
      *
      * @param after the id after which the client asked the stream to go on, null where it asked for the whole
+     * @param versions the header by which an answer tells the version of its weights
      */
-    StreamRelay(String after) {
-        position = new StreamPosition(after);
+    StreamRelay(String after, HttpString versions) {
+        this.versions = versions;
+        position = new StreamPosition(after, versions.toString().toLowerCase(Locale.ROOT) + ":");
         joined = after != null;
     }
 
@@ -27,6 +32,21 @@
         return type != null && type.startsWith("text/event-stream");
     }
 
+    /** A run begins with this head; false where it may not go on with the stream, being of other weights. */
+    boolean begins(HeaderMap head) {
+        var told = head.getFirst(versions);
+        return position.begins(told == null ? null : wholeNumber(told.trim()));
+    }
+
+    private static String wholeNumber(String text) {
+        return text.matches("\\d{1,18}") ? text : null;
+    }
+
+    /** The weight version that a run has to have which goes on; null where none was told. */
+    String version() {
+        return position.version();
+    }
+
     /** Takes bytes of a run; returns the whole events to pass on, null for none. */
     ByteBuffer take(ByteBuffer bytes) {
         var whole = splitter.take(bytes);
--- a/lib/gateway/src/test/java/craneway/gateway/proxy/StreamRelayTest.java
+++ b/lib/gateway/src/test/java/craneway/gateway/proxy/StreamRelayTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.undertow.util.HttpString;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -16,6 +17,7 @@
 
 /** Streams of random events in random pieces, broken off at random bytes and gone on with. */
 class StreamRelayTest {
+    private static final HttpString VERSIONS = new HttpString("Weight-Versions");
     private static final int SEEDS = 500;
     private static final int MOST_EVENTS = 30;
     private static final int MOST_PIECE = 40;
@@ -62,7 +64,7 @@
         for (var seed = 0; seed < SEEDS; seed++) {
             var random = new Random(seed);
             var stream = Stream.random(random);
-            var relay = new StreamRelay(null);
+            var relay = new StreamRelay(null, VERSIONS);
             var out = new ByteArrayOutputStream();
             for (var i = 0; i < breaks; i++) {
                 var run = stream.after(relay.lastId()).getBytes(StandardCharsets.UTF_8);
@@ -83,7 +85,7 @@
             var stream = Stream.random(random);
             var passed = 2 + random.nextInt(MOST_EVENTS);
             if (passed + Math.max(0, shift) >= stream.events.size()) continue;
-            var relay = new StreamRelay(null);
+            var relay = new StreamRelay(null, VERSIONS);
             var out = new ByteArrayOutputStream();
             var first = String.join("", stream.events.subList(0, passed));
             assertTrue(feed(relay, first.getBytes(StandardCharsets.UTF_8), random, out));
@@ -103,7 +105,7 @@
         "'',false,false"
     })
     void saysWhetherAnotherRunMayGoOnAndWhetherThisOneMayEnd(String text, boolean resumable, boolean mayEnd) {
-        var relay = new StreamRelay(null);
+        var relay = new StreamRelay(null, VERSIONS);
         relay.take(ByteBuffer.wrap(text.replace('|', '\n').getBytes(StandardCharsets.UTF_8)));
         assertEquals(resumable, relay.resumable());
         assertEquals(mayEnd, relay.mayEnd());
@@ -112,7 +114,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"no number", "", "-1", "99999999999999999999", "٣"})
     void aLastEventIdThatIsNoNumberIsHeldAgainstItselfOnly(String after) {
-        var relay = new StreamRelay(after);
+        var relay = new StreamRelay(after, VERSIONS);
         relay.take(ByteBuffer.wrap("id: 1\ndata: a\n\n".getBytes(StandardCharsets.UTF_8)));
         assertTrue(relay.follows());
     }
--- a/test/pass/src/test/java/craneway/pass/Bed.java
+++ b/test/pass/src/test/java/craneway/pass/Bed.java
@@ -64,6 +64,7 @@
     private volatile Membership.View view;
     private volatile long advanced;
     private volatile long stopped;
+    private volatile PlannedFault fault;
 
     Bed() throws IOException {
         service.name = "s";
@@ -95,7 +96,7 @@
                 1_200_000,
                 bounds);
         server = new ProxyServer(
-                () -> (stopped != 0 ? stopped : System.nanoTime() / 1000) + advanced,
+                this::clock,
                 () -> view,
                 seat,
                 names(),
@@ -104,6 +105,17 @@
                 (a, m) -> {});
     }
 
+    private long clock() {
+        var planned = fault;
+        if (planned != null) planned.reached();
+        return (stopped != 0 ? stopped : System.nanoTime() / 1000) + advanced;
+    }
+
+    /** A reading of the router's clock is to throw. */
+    void plan(PlannedFault planned) {
+        fault = planned;
+    }
+
     static HeaderVocabulary names() {
         return new HeaderVocabulary(
                 new HttpString("Try"),
@@ -119,6 +131,8 @@
                 new HttpString("Cold"),
                 new HttpString("Urgency"),
                 new HttpString("Last-Event-Id"),
+                new HttpString("Weight-Versions"),
+                new HttpString("Expect-Version"),
                 "/ready",
                 "/report");
     }
--- a/test/pass/src/test/java/craneway/pass/JoinedRunTest.java
+++ b/test/pass/src/test/java/craneway/pass/JoinedRunTest.java
@@ -166,6 +166,29 @@
         assertEquals(List.of(""), got.after);
     }
 
+    /** Within one run, too, an id that repeats or falls is no event that may be passed on. */
+    @ParameterizedTest
+    @CsvSource({"1 2 2 3,1 2", "1 3 2 4,1 3", "1 2 1 2,1 2", "a a,a", "1 2 4 7,1 2 4 7"})
+    void anIdThatRepeatsOrFallsEndsTheStreamVisibly(String ids, String passed) throws Exception {
+        var all = new StringBuilder();
+        var begun = new StringBuilder();
+        for (var id : ids.split(" ")) all.append(ScriptedRunner.chunk("id: " + id + "\ndata: x\n\n"));
+        for (var id : passed.split(" ")) begun.append("id: " + id + "\ndata: x\n\n");
+        for (var path : List.of("/stream/x", "/resume/x")) {
+            var got = play(
+                    path,
+                    "",
+                    c -> {
+                        c.write(ScriptedRunner.streamHead("t1") + all + END);
+                        c.untilClosed();
+                    },
+                    "");
+            assertTrue(begun.toString().startsWith(got.answer.text()), got.answer.text());
+            assertEquals(ids.equals(passed), got.answer.whole());
+            assertEquals(1, got.after.size());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"3 4,true", "1 2 3 4,false", "2 3,false"})
     void theAnswerToAClientThatGoesOnIsHeldAgainstItsLastEventId(String ids, boolean follows) throws Exception {
--- a/test/pass/src/test/java/craneway/pass/ScriptedRunner.java
+++ b/test/pass/src/test/java/craneway/pass/ScriptedRunner.java
@@ -140,6 +140,12 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
+    /** Ends as a killed process does: nothing listens any more, and the kernel ends each connection by a plain close. */
+    void die() throws IOException {
+        server.close();
+        for (var s : sockets) s.close();
+    }
+
     /** Keeps a script silent until the test is over. */
     void silence() throws InterruptedException {
         closed.await();
