--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RunnerConnections.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RunnerConnections.java
@@ -34,6 +34,9 @@
      */
     private static final long KNOWN_ALIVE = 400_000;
 
+    /** A kernel that ends a killed process may close its connections this long before the port at which it listened. */
+    private static final long DEATH = 20_000;
+
     private static final int PER_RUNNER = 32;
 
     private static final OptionMap OPTIONS = OptionMap.builder()
@@ -96,12 +99,14 @@
     /** Says within this time whether anything accepts connections there; such a connection rests for a later request. */
     void alive(String address, long within, Consumer<Boolean> then) {
         var pending = new AtomicBoolean(true);
-        var timer = io.executeAfter(() -> answerOnce(pending, false, then), within, TimeUnit.MICROSECONDS);
-        open(address, (connection, cause) -> {
-            timer.remove();
-            if (connection != null) spare(address, connection);
-            answerOnce(pending, connection != null, then);
-        });
+        io.executeAfter(() -> answerOnce(pending, false, then), within, TimeUnit.MICROSECONDS);
+        io.executeAfter(
+                () -> open(address, (connection, cause) -> {
+                    if (connection != null) spare(address, connection);
+                    answerOnce(pending, connection != null, then);
+                }),
+                DEATH,
+                TimeUnit.MICROSECONDS);
     }
 
     private static void answerOnce(AtomicBoolean pending, boolean alive, Consumer<Boolean> then) {
--- a/test/pass/src/test/java/craneway/pass/ScriptedRunner.java
+++ b/test/pass/src/test/java/craneway/pass/ScriptedRunner.java
@@ -129,20 +129,25 @@
     private final Script script;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final CountDownLatch closed = new CountDownLatch(1);
+    private final Thread acceptor;
 
     ScriptedRunner(Script script) throws IOException {
         this.script = script;
         server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        start(this::accept);
+        acceptor = start(this::accept);
     }
 
     String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    /** Ends as a killed process does: nothing listens any more, and the kernel ends each connection by a plain close. */
-    void die() throws IOException {
+    /**
+     * Ends as a killed process does: nothing listens any more, and the kernel ends each connection by a plain close. A thread
+     * that waits for connections keeps the port listening until it has returned.
+     */
+    void die() throws IOException, InterruptedException {
         server.close();
+        acceptor.join();
         for (var s : sockets) s.close();
     }
 
@@ -151,10 +156,11 @@
         closed.await();
     }
 
-    private static void start(Runnable r) {
+    private static Thread start(Runnable r) {
         var t = new Thread(r);
         t.setDaemon(true);
         t.start();
+        return t;
     }
 
     private void accept() {
