--- a/lib/control/src/main/java/craneway/control/node/TopicTable.java
+++ b/lib/control/src/main/java/craneway/control/node/TopicTable.java
@@ -45,6 +45,7 @@
     private final Map<String, Topic> topics = new TreeMap<>();
     private final Map<String, Rows.Service> services = new TreeMap<>();
     private final Map<String, News> early = new HashMap<>();
+    private Map<String, Rows.Service> servicesNow;
     private Rows.Manifest manifestTopic = new Rows.Manifest();
     private Manifest manifest;
 
@@ -71,8 +72,10 @@
         return manifest;
     }
 
+    /** The services as last told; the same map until one of them changes. */
     Map<String, Rows.Service> services() {
-        return Map.copyOf(services);
+        if (servicesNow == null) servicesNow = Map.copyOf(services);
+        return servicesNow;
     }
 
     /** Forgets which versions another core had told, and keeps what they said until the new ones come. */
@@ -197,10 +200,12 @@
                 .removeIf(k ->
                         !k.equals(Parts.MANIFEST_TOPIC) && !manifest.services().containsKey(k));
         services.keySet().removeIf(k -> !manifest.services().containsKey(k));
+        servicesNow = null;
     }
 
     private void takeService(Rows.Service s) {
         var old = services.put(s.name, s);
+        servicesNow = null;
         if (old == null || old.tableVersion != s.tableVersion)
             port.note(Event.TABLE_TAKEN, s.name + " version " + s.tableVersion);
     }
--- a/lib/data/src/main/java/craneway/data/placement/Pool.java
+++ b/lib/data/src/main/java/craneway/data/placement/Pool.java
@@ -27,8 +27,9 @@
 
     public boolean follow(Membership.View v) {
         if (v == view) return false;
+        var old = view;
         view = v;
-        if (v.manifest() == null) return true;
+        if (v.manifest() == null || old != null && tellsTheSame(old, v)) return true;
         var all = new HashMap<String, List<RunnerView>>();
         var ids = new HashSet<String>();
         for (var s : v.services().values()) {
@@ -48,6 +49,14 @@
         return true;
     }
 
+    /** Whether two views differ in their leases only. */
+    private static boolean tellsTheSame(Membership.View a, Membership.View b) {
+        return a.manifest() == b.manifest()
+                && a.topic() == b.topic()
+                && a.services() == b.services()
+                && a.members().get(Parts.MANIFEST) == b.members().get(Parts.MANIFEST);
+    }
+
     /** Some router gave this runner tokens to read. */
     public void told(RunnerView r, int tokens, long now) {
         r.reading(tokens, now);
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/ProxyServer.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/ProxyServer.java
@@ -94,12 +94,12 @@
 
     /** A runner that another router finds silent. */
     public void heard(Silence m) {
-        worker.getIoThread().execute(() -> all.heard(m));
+        all.notices().add(m);
     }
 
     /** What another router gave a runner to read. */
     public void heard(Reading m) {
-        worker.getIoThread().execute(() -> all.heard(m));
+        all.notices().add(m);
     }
 
     /** How often what is open was looked after; for tests that move the clock. */
--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestContext.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestContext.java
@@ -27,8 +27,12 @@
 
 /** All open requests of one router, and what they share. One I/O thread. */
 final class RequestContext {
+    /** Pause between two looks at the open requests. */
     private static final long LOOK = 60_000;
+
+    /** Pause between two looks while none is open, and between two sweeps of what rests. */
     private static final long SWEEP = 500_000;
+
     private static final long LATELY = 250_000;
     private static final int TOLD = 1_000;
     private static final int SLOW = 5;
@@ -46,6 +50,8 @@
     private final Placer placer;
     private final RetryBudget budget;
     private final Set<RequestExchange> open = new HashSet<>();
+    private final Notices notices;
+    private XnioExecutor.Key nextLook;
     private volatile boolean closed;
     private long swept;
     private long slowSecond;
@@ -66,6 +72,7 @@
         this.view = view;
         this.names = names;
         this.log = log;
+        notices = new Notices(now);
         connections = new RunnerConnections(io, now);
         clients = new ClientConnections(now);
         placer = new Placer(pool, new ColdShare(node.name()), node.zone(), node.region());
@@ -80,7 +87,7 @@
     }
 
     void start() {
-        after(LOOK, this::look);
+        nextLook = after(SWEEP, this::look);
     }
 
     private void look() {
@@ -95,7 +102,7 @@
                 if (pool.view() != null && pool.view().manifest() != null) pool.seat(t);
             }
         } finally {
-            if (!closed) after(LOOK, this::look);
+            if (!closed) nextLook = after(open.isEmpty() ? SWEEP : LOOK, this::look);
         }
     }
 
@@ -141,11 +148,22 @@
         return io.executeAfter(r, Math.max(1, micros), TimeUnit.MICROSECONDS);
     }
 
+    /** Brings what is known of the runners up to date, before one is chosen. */
     void refresh() {
         pool.follow(view.get());
+        notices.take(this::heard, this::heard);
+    }
+
+    /** What other routers tell, from any thread. */
+    Notices notices() {
+        return notices;
     }
 
     void add(RequestExchange p) {
+        if (open.isEmpty() && nextLook != null) {
+            nextLook.remove();
+            nextLook = after(LOOK, this::look);
+        }
         open.add(p);
     }
 
@@ -185,10 +203,10 @@
         for (var a : pool.peers(node.name(), c.runner().region, node.region())) send.accept(a, m);
     }
 
-    void heard(Reading m) {
+    private void heard(Reading m, long at) {
         var r = pool.named(m.runner);
         if (r == null || m.tokens <= 0) return;
-        pool.told(r, m.tokens, now());
+        pool.told(r, m.tokens, at);
         r.keeps(m.parts, m.sizes);
     }
 
@@ -203,9 +221,9 @@
         r.suspect(t);
     }
 
-    void heard(Silence m) {
+    private void heard(Silence m, long at) {
         var r = pool.named(m.runner);
-        if (r != null && now() - r.heardAt() > LATELY) r.suspect(now());
+        if (r != null && at - r.heardAt() > LATELY) r.suspect(at);
     }
 
     /** Another life has this address. */
--- a/lib/process/src/main/java/craneway/process/PlatformRouterProcess.java
+++ b/lib/process/src/main/java/craneway/process/PlatformRouterProcess.java
@@ -13,7 +13,7 @@
 
 /** The router on a platform that starts it: control as ever, the whole request path without blocking threads. */
 public final class PlatformRouterProcess implements AutoCloseable {
-    private static final int IO = 1, THREADS = 2, TICKS = 1, TICK = 50;
+    private static final int IO = 1, THREADS = 2, TICKS = 1, TICK = 100;
     private static final long LINGER = 5_000_000, MARGIN = 500_000, TELL = 200_000;
 
     private final NodeSettings node;
--- /dev/null
+++ b/test/pass/src/test/java/craneway/pass/PoolNewsTest.java
@@ -0,0 +1,84 @@
+package craneway.pass;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import craneway.control.node.Membership;
+import craneway.data.placement.Pool;
+import craneway.model.manifest.Manifest;
+import craneway.model.manifest.ManifestReader;
+import craneway.state.message.Node;
+import craneway.state.message.Plan;
+import craneway.state.record.Rows;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** A pool is made anew where views tell other news, and kept where they differ in their leases only. */
+class PoolNewsTest {
+    private final Manifest manifest = ManifestReader.read(Bed.MANIFEST).get();
+    private final Pool pool = new Pool();
+
+    private static Rows.Service service(String... runners) {
+        var service = new Rows.Service();
+        service.name = "s";
+        service.cells.add("a");
+        service.zones.add("a");
+        service.cellRegions.add("ra");
+        service.runners = new TreeMap<>();
+        for (var id : runners) {
+            var row = new Rows.Runner();
+            row.name = id;
+            row.address = "127.0.0.1:1";
+            row.cell = "a";
+            row.slots = 8;
+            service.runners.put(id, row);
+        }
+        return service;
+    }
+
+    private Membership.View view(
+            Rows.Manifest topic, Map<String, Rows.Service> services, List<List<Node>> members, long leases) {
+        var until = new long[] {leases, leases, leases, leases};
+        return new Membership.View(topic, manifest, services, until, members, 0, until);
+    }
+
+    private static List<List<Node>> members(Node... routers) {
+        return List.of(List.of(routers), List.of(), List.of(), List.of());
+    }
+
+    private static Node router(String name) {
+        return new Node(name, Node.ROUTER, "a", "127.0.0.1:1", 1).with(1, true);
+    }
+
+    @Test
+    void isKeptWhereOnlyLeasesAreNew() {
+        var topic = new Rows.Manifest();
+        var services = Map.of("s", service("i1"));
+        var members = members(router("r1"));
+        pool.follow(view(topic, services, members, 1));
+        var before = pool.of("s");
+        var renewed = view(topic, services, members, 2);
+        assertTrue(pool.follow(renewed));
+        assertSame(before, pool.of("s"));
+        assertSame(renewed, pool.view());
+    }
+
+    @Test
+    void followsRunnersMarksAndRouters() {
+        var topic = new Rows.Manifest();
+        var services = Map.of("s", service("i1"));
+        var members = members(router("r1"));
+        pool.follow(view(topic, services, members, 1));
+        pool.follow(view(topic, Map.of("s", service("i1", "i2")), members, 1));
+        assertEquals(2, pool.of("s").size());
+        var marked = new Rows.Manifest();
+        marked.marks.put("zone:a", Plan.EMPTIED);
+        pool.follow(view(marked, services, members, 1));
+        assertTrue(pool.emptied("a"));
+        pool.follow(view(marked, services, members(router("r1"), router("r2")), 1));
+        assertEquals(List.of("r1", "r2"), List.copyOf(pool.routers()));
+    }
+}
