--- /dev/null
+++ b/lib/model/src/main/java/craneway/model/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reads documents into trees of nodes. */
+package craneway.model.json;
--- a/lib/model/src/main/java/craneway/model/manifest/ManifestReader.java
+++ b/lib/model/src/main/java/craneway/model/manifest/ManifestReader.java
@@ -1,13 +1,11 @@
 package craneway.model.manifest;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.networknt.schema.Schema;
 import com.networknt.schema.SchemaRegistry;
 import com.networknt.schema.SpecificationVersion;
+import craneway.model.json.JsonTree;
 import craneway.model.problem.Kind;
 import craneway.model.problem.Problem;
 import io.vavr.control.Either;
@@ -22,11 +20,6 @@
 
 /** Reads a manifest's text: against the JSON schema, then for names that must exist and numbers that must fit. */
 public final class ManifestReader {
-    private static final JsonMapper JSON = JsonMapper.builder()
-            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-            .build();
-
     private static final class Shape {
         private static final Schema SCHEMA = SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12)
                 .getSchema(schemaText());
@@ -55,9 +48,11 @@
 
     private static Either<Problem, JsonNode> parse(String text) {
         try {
-            return Either.right(JSON.readTree(text));
+            return Either.right(JsonTree.read(text));
         } catch (JsonProcessingException e) {
             return bad("not JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            return bad("not JSON: " + e.getMessage());
         }
     }
 
--- /dev/null
+++ b/lib/model/src/test/java/craneway/model/json/JsonTreeTest.java
@@ -0,0 +1,57 @@
+package craneway.model.json;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Trees are those that a mapper reads, and what a strict mapper refuses is refused. */
+class JsonTreeTest {
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{}",
+                "[]",
+                "null",
+                "\"text \\u00e4 \\n\"",
+                "-7",
+                "9223372036854775807",
+                "123456789012345678901234567890",
+                "1.5e3",
+                "0.1",
+                "{\"a\":{\"b\":[1,{\"c\":null},[true,false]]},\"d\":\"\"}",
+                "  [ 1 , 2 ]  "
+            })
+    void areThoseOfAMapper(String text) throws IOException {
+        assertEquals(new JsonMapper().readTree(text), JsonTree.read(text));
+    }
+
+    @Test
+    void ofNothingIsAMissingNode() throws IOException {
+        assertTrue(JsonTree.read("  ").isMissingNode());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{",
+                "[1",
+                "{\"a\":1,\"a\":2}",
+                "{} {}",
+                "[1] 2",
+                "{\"a\":}",
+                "tru",
+                "\"open",
+                "{'a':1}",
+                "01",
+                "NaN"
+            })
+    void refuseWhatIsNoDocument(String text) {
+        assertThrows(IOException.class, () -> JsonTree.read(text));
+    }
+}
--- /dev/null
+++ b/lib/model/src/test/java/craneway/model/json/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link craneway.model.json}. */
+package craneway.model.json;
