Short requests one behind the other do not put the next look off

Found by reading the change before the landing: each first open request moved the next look 60 ms on, so that a router whose requests are shorter and always single never swept or looked. LookPaceTest ran into its 30 s before, and passes now.

--- a/lib/gateway/src/main/java/craneway/gateway/proxy/RequestContext.java
+++ b/lib/gateway/src/main/java/craneway/gateway/proxy/RequestContext.java
@@ -52,6 +52,7 @@
     private final Set<RequestExchange> open = new HashSet<>();
     private final Notices notices;
     private XnioExecutor.Key nextLook;
+    private boolean nextLookIsFar;
     private volatile boolean closed;
     private long swept;
     private long slowSecond;
@@ -87,7 +88,12 @@
     }
 
     void start() {
-        nextLook = after(SWEEP, this::look);
+        nextLook();
+    }
+
+    private void nextLook() {
+        nextLookIsFar = open.isEmpty();
+        nextLook = after(nextLookIsFar ? SWEEP : LOOK, this::look);
     }
 
     private void look() {
@@ -102,7 +108,7 @@
                 if (pool.view() != null && pool.view().manifest() != null) pool.seat(t);
             }
         } finally {
-            if (!closed) nextLook = after(open.isEmpty() ? SWEEP : LOOK, this::look);
+            if (!closed) nextLook();
         }
     }
 
@@ -160,11 +166,10 @@
     }
 
     void add(RequestExchange p) {
-        if (open.isEmpty() && nextLook != null) {
-            nextLook.remove();
-            nextLook = after(LOOK, this::look);
-        }
         open.add(p);
+        if (!nextLookIsFar) return;
+        nextLook.remove();
+        nextLook();
     }
 
     void remove(RequestExchange p) {
