--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -42,8 +42,10 @@
     final int slots;
     final AtomicInteger running = new AtomicInteger();
     volatile String state = "in_service";
-    /** For requests that were put back, the steady time in nanoseconds at which they go on. */
-    private final Map<String, Long> putBack = new ConcurrentHashMap<>();
+    /** Tokens that its running requests may hold together. */
+    volatile long memory = Long.MAX_VALUE;
+    /** What each admitted request holds, in tokens, the newest last. */
+    private final LinkedHashMap<String, Long> held = new LinkedHashMap<>();
     /** Steady time in nanoseconds until which it is cold. */
     volatile long coldUntil = Long.MIN_VALUE;
 
@@ -174,9 +176,39 @@
         return new Asked(first[0], first.length > 1 ? first[1] : "", headers, in.readNBytes(n));
     }
 
-    /** Puts a running request back in the middle of its stream: no event of it leaves for a while. */
-    void putBack(String tryId, int millis) {
-        putBack.put(tryId, System.nanoTime() + millis * 1_000_000L);
+    private long heldByAll() {
+        return held.values().stream().mapToLong(x -> x).sum();
+    }
+
+    /** A request makes more tokens; if memory runs out, the newest one is put back. */
+    private void makes(String tryId, int tokens) {
+        synchronized (held) {
+            held.computeIfPresent(tryId, (k, v) -> v + tokens);
+            while (heldByAll() > memory && held.size() > 1) {
+                var newest = List.copyOf(held.keySet()).get(held.size() - 1);
+                record.say("runner " + id + ": memory of " + memory + " tokens runs out, puts " + newest + " back");
+                held.remove(newest);
+            }
+        }
+    }
+
+    private boolean admit(String tryId, long tokens) {
+        synchronized (held) {
+            if (!held.isEmpty() && heldByAll() + tokens > memory) return false;
+            held.put(tryId, tokens);
+            return true;
+        }
+    }
+
+    /** Waits until there is memory for a request that is new, or that was put back. */
+    private void awaitMemory(Socket s, String tryId, long tokens) throws IOException {
+        synchronized (held) {
+            if (held.containsKey(tryId)) return;
+        }
+        var began = record.now();
+        while (!admit(tryId, tokens)) pause(s, 10);
+        if (memory < Long.MAX_VALUE && record.now() - began > 5)
+            record.say(String.format(Locale.ROOT, "runner %s: goes on with %s after %.0f ms", id, tryId, record.now() - began));
     }
 
     private String load() {
@@ -215,6 +247,9 @@
             return whole;
         } finally {
             running.decrementAndGet();
+            synchronized (held) {
+                held.remove(a.tryId());
+            }
             watcher.ended(this, a, whole);
         }
     }
@@ -229,6 +264,7 @@
         var parts = a.target.split("[/?]");
         var pieces = parts.length > 3 ? Integer.parseInt(parts[2]) : 1;
         var pause = parts.length > 3 ? Integer.parseInt(parts[3]) : 0;
+        var tokens = Long.parseLong(a.headers.getOrDefault("craneway-tokens", "0,0").split(",")[0].trim());
         var after = a.headers.containsKey("last-event-id") ? Integer.parseInt(a.headers.get("last-event-id")) : 0;
         out.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCraneway-Try-Id: " + a.tryId()
                         + "\r\nCraneway-Postmark: p." + id + "." + a.tryId() + "\r\nCraneway-Weight-Versions: 1\r\n"
@@ -236,11 +272,13 @@
                 .getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
         for (var i = after + 1; i <= pieces; i++) {
+            awaitMemory(s, a.tryId(), tokens + 5L * (i - 1));
             pause(s, pause);
-            while (putBack.containsKey(a.tryId()) && System.nanoTime() < putBack.get(a.tryId())) pause(s, 10);
+            awaitMemory(s, a.tryId(), tokens + 5L * (i - 1));
             var e = "id: " + i + "\ndata: " + id + " " + a.tryId() + " piece " + i + "\n\n";
             out.write((Integer.toHexString(e.length()) + "\r\n" + e + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
             out.flush();
+            makes(a.tryId(), 5);
         }
         out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
