--- a/review/standin/Silence.java
+++ b/review/standin/Silence.java
@@ -2,7 +2,7 @@
 import java.util.ArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A runner runs out of memory and puts its newest request back for about a second, while the other runner is full. */
+/** A runner runs out of memory and puts its newest request back for less than a second, while the other runner is full. */
 final class Silence {
     /** Tokens of memory of each runner, also in the configuration. */
     private static final int MEMORY = 6_900;
